--- /dev/null
+++ b/pointgw/__init__.py
@@ -0,0 +1,1 @@
+"""pointgw: a balancer for long-lived connections."""
--- /dev/null
+++ b/pointgw/interface.py
@@ -0,0 +1,89 @@
+"""What a host hands to the decision module, and the actions the module asks of it.
+
+A host (the bench's drill today, a daemon later) builds a `Site` from its settings, starts one
+`pointgw.policy.Balancer` for each balancer, reports events by calling its methods and carries out
+the `Host` actions it asks for. Times are seconds; shares and prices are fractions.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Literal, NamedTuple, Protocol
+
+if TYPE_CHECKING:
+    from pointgw.policy import Server, Tunnel
+
+Semantics = Literal["repeatable", "referenced", "once-only"]
+Group = Literal["all", "zone", "cell"]
+# How a setup or a probe ended. "full", "no-connection" and "moot" prove that it never ran.
+Ending = Literal["ok", "error", "full", "timeout", "no-connection", "reset", "cancelled", "moot"]
+# A load report: any of "connections", "load" (asked over capacity), "backlog" (seconds of work),
+# "waiting", "util", "rate", "delay", "errors".
+Report = dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """One profile of tunnels."""
+
+    semantics: Semantics
+    group: Group
+    window: float
+    setup_goal: float
+    client_timeout: float
+    credit: float
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """All that a balancer is told at its start."""
+
+    me: int
+    balancers: int
+    zone: int
+    profiles: tuple[Profile, ...]
+    tenant_quota: tuple[float, ...]  # open tunnels within each tenant's share, over all balancers
+    asks: bool  # the server list answers only when asked
+    ask_every: float
+    fields: tuple[str, ...]  # the values of a load report
+    keeps_flows: bool  # packets pass through: an open connection may reach another balancer
+    max_setups: int
+    may_probe: bool
+    may_tell: bool
+    may_call_off: bool
+    come_back: float  # the longest come-back time that clients follow; 0: none may be given
+    grain: float  # the shortest time between two turns
+    drain_grace: float
+    cold_share: float
+    cold_time: float
+    tip_multiple: float
+    tip_span: float
+    probe_price: float
+    move_price: float
+
+
+class Listed(NamedTuple):
+    """One line of the server list."""
+
+    server: str
+    state: Literal["active", "leaving", "left"]
+    kind: int
+    cell: int
+    zone: int
+    started: float  # 0: long ago
+    weight: float
+
+
+class Host(Protocol):
+    """The actions a balancer may ask for; each takes effect at once."""
+
+    def setup(self, tun: Tunnel, ep: Server, patience: float) -> None: ...
+    def call_off(self, tun: Tunnel, number: int) -> None: ...
+    def decline(self, tun: Tunnel, come_back: float) -> None: ...
+    def close_with_error(self, tun: Tunnel) -> None: ...
+    def move(self, tun: Tunnel) -> None: ...
+    def probe(self, ep: Server) -> None: ...
+    def watch(self) -> None: ...
+    def timer(self, delay: float) -> None: ...
+    def tell(self, data: bytes) -> None: ...
+    def log(self, text: str) -> None: ...
--- /dev/null
+++ b/pointgw/policy.py
@@ -0,0 +1,488 @@
+"""Every decision of the balancer. No I/O, no clock, no words of any wire.
+
+How to call it: build a `pointgw.interface.Site`, then `Balancer(site, host, random.Random(seed), now)`;
+hand in the list with `listed`, make each tunnel with `tunnel` and report it with `arrived` (or
+`inherited`), then report what happens to it: `opened`, `ended`, `left`, `load_noted`, `delay_noted`.
+`probed`, `told` and `tick` (asked for by `Host.timer`) are the rest. All times are seconds of the host's
+clock, which is passed with each call. The actions asked for, the settings and the words for endings
+are defined in `pointgw/interface.py`. docs/design.md tells why.
+
+The ordinary path is SRLB's: `_draw` two ready servers, `_offer` the tunnel to the first against the
+threshold c, which `_steer` keeps where half of the first offers are accepted (SR_dyn).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum
+from random import Random
+
+from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
+
+WINDOW = 50  # offers to a window of SR_dyn
+WINDOW_TIME = 10.0  # seconds after which a window closes
+WINDOW_LEAST = 10  # offers under which a window closed by time leaves c unchanged
+LOW, HIGH = 0.4, 0.6  # acceptance under which c rises, over which it falls
+STEP = 0.05  # of c, for a fractional busy figure
+NEVER_RAN = ("full", "no-connection", "moot")
+PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
+LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
+FULL = 0.95  # load over capacity at which a server is not ready for more
+
+
+class State(Enum):
+    """Where a tunnel stands."""
+
+    HELD = "held"  # no setup is out; it waits for a server
+    SETTING_UP = "setting up"
+    OPEN = "open"
+    ENDED = "ended"
+
+
+NEXT = {
+    State.HELD: (State.SETTING_UP, State.OPEN, State.ENDED),
+    State.SETTING_UP: (State.HELD, State.OPEN, State.ENDED),
+    State.OPEN: (State.ENDED,),
+    State.ENDED: (),
+}
+
+
+class Setup:
+    """One try to set a tunnel up at a server."""
+
+    __slots__ = ("ep", "may_have_run", "out", "sent_at")
+
+    def __init__(self, ep: Server, now: float) -> None:
+        self.ep, self.sent_at = ep, now
+        self.out, self.may_have_run = True, True
+
+
+class Tunnel:
+    """One client connection, from its arrival to its end."""
+
+    __slots__ = ("back", "deadline", "group", "key", "load", "name", "profile", "setups", "state", "tenant")
+
+    def __init__(
+        self, name: str, profile: Profile, tenant: int, key: str, group: str, deadline: float, back: bool
+    ) -> None:
+        self.name, self.profile, self.tenant, self.key, self.group = name, profile, tenant, key, group
+        self.deadline, self.back = deadline, back
+        self.state = State.HELD
+        self.setups: list[Setup] = []
+        self.load = 0.0  # work a second, where it is told
+
+    @property
+    def done(self) -> bool:
+        return self.state is State.ENDED and not any(s.out for s in self.setups)
+
+    def to(self, state: State) -> None:
+        """The one place where a tunnel changes state."""
+        if state not in NEXT[self.state]:
+            raise ValueError(f"tunnel {self.name}: {self.state.value} cannot become {state.value}")
+        ep = self.setups[-1].ep if self.setups else None
+        if ep is not None and state is State.OPEN:
+            ep.tunnels[self] = None
+        elif ep is not None and self.state is State.OPEN:
+            ep.tunnels.pop(self, None)
+        self.state = state
+
+
+class Server:
+    """All that is known of one server."""
+
+    __slots__ = (
+        "active", "budget", "budget_at", "busy", "cell", "full_load", "heard_at", "kind", "listed", "name",
+        "out_until", "placed", "probe_due", "probing", "since_sent", "started", "strikes", "tunnels",
+        "weight", "zone",
+    )  # fmt: skip
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.kind = self.cell = self.zone = 0
+        self.started, self.weight = 0.0, 1.0
+        self.active = self.listed = False
+        self.tunnels: dict[Tunnel, None] = {}  # open here, oldest first
+        self.probing = False
+        self.probe_due = 0.0
+        self.since_sent = 0.0  # placed since the probe that is out was sent, in the unit of the busy figure
+        self.forget()
+
+    def forget(self) -> None:
+        """A process that has just started is not what the one before it was."""
+        self.busy: float | None = None  # of the latest report; None: unheard
+        self.full_load = 0.0  # load over capacity of the latest report
+        self.heard_at = 0.0
+        self.placed = 0.0  # own placements since that report, in its unit
+        self.strikes = 0
+        self.out_until = 0.0  # not ready before this
+        self.budget, self.budget_at = 0.0, 0.0  # tunnels that may be sent while it is cold
+
+
+class Balancer:
+    """The decisions of one balancer."""
+
+    def __init__(self, site: Site, host: Host, rng: Random, now: float) -> None:
+        self.host = host
+        self.uniform, self.sample, self.chance = rng.uniform, rng.sample, rng.random
+        self.servers: dict[str, Server] = {}
+        self.profiles = site.profiles
+        self.balancers, self.zone = site.balancers, site.zone
+        self.max_setups = max(1, site.max_setups)
+        self.may_call_off, self.come_back = site.may_call_off, site.come_back
+        # The shortest setup goal sets the pace of what is done by the clock.
+        self.goal = min(p.setup_goal for p in site.profiles)
+        self.pace = max(site.grain, self.goal / 4)
+        self.margin = max(2 * site.grain, 0.01 * self.goal)  # to answer before the client gives up
+        # Rule 4: what all balancers may send a cold server at the start, as a multiple of its warm rate.
+        self.cold_share, self.cold_time = site.cold_share, site.cold_time
+        self.tip_multiple, self.tip_span = site.tip_multiple, site.tip_span
+        # The server list, where it must be asked.
+        self.asks, self.ask_every = site.asks, site.ask_every
+        self.watching = False
+        self.ask_due, self.ask_wait = now, site.ask_every / 8
+        # SR_dyn.
+        self.fraction = "connections" not in site.fields
+        self.step = STEP if self.fraction else 1.0
+        self.c = 1.0
+        self.offers = self.accepted = 0
+        self.window_at = self.top_at = now
+        self.top = self.top_before = 0.0
+        self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
+        # Own arrivals a second, smoothed.
+        self.rate, self.came = 1.0, 0
+        self.tick_at = now
+        self.may_probe, self.probe_price = site.may_probe, site.probe_price
+        self.held: dict[Tunnel, None] = {}
+        self.host.timer(self.pace)
+
+    # The server list.
+
+    def listed(self, entries: Iterable[Listed], whole: bool, cached: bool, now: float) -> None:
+        """The list, or changes to it. A server that a whole list lacks is gone."""
+        if not cached:
+            self.watching, self.ask_wait = True, self.ask_every / 8
+        if whole:
+            for ep in self.servers.values():
+                ep.listed = False
+        for line in entries:
+            found = self.servers.get(line.server)
+            if found is None:
+                found = self.servers[line.server] = Server(line.server)
+                found.probe_due = now
+            ep = found
+            ep.kind, ep.cell, ep.zone, ep.weight = line.kind, line.cell, line.zone, line.weight
+            if line.started != ep.started:
+                ep.started = line.started
+                ep.forget()
+                # The balancers must not all spend a first tunnel at the same moment.
+                ep.budget, ep.budget_at = self.uniform(0.0, 1.0), now
+                ep.probe_due = now
+            ep.active, ep.listed = line.state == "active", True
+        if whole:
+            for ep in self.servers.values():
+                ep.active = ep.active and ep.listed
+        if cached and self.asks and not self.watching:
+            self._ask(now)
+        self._serve_held(now)
+
+    def list_failed(self, now: float) -> None:
+        """A call failed or the watch broke: ask again, later each time, apart from the others."""
+        self.watching = False
+        self.ask_due = now + self.ask_wait * self.uniform(0.5, 1.5)
+        self.ask_wait = min(2 * self.ask_wait, self.ask_every)
+
+    def _ask(self, now: float) -> None:
+        self.host.watch()
+        # No answer at all: asked again before this balancer counts as told of what it never heard.
+        self.ask_due = now + self.ask_every * self.uniform(0.6, 0.9)
+
+    # Readiness.
+
+    def _ready(self, ep: Server, now: float) -> bool:
+        return ep.active and ep.out_until <= now and ep.full_load < FULL and self._within_budget(ep, now)
+
+    def _within_budget(self, ep: Server, now: float) -> bool:
+        """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel."""
+        age = now - ep.started
+        if not ep.started or age >= self.cold_time:
+            return True
+        warm = self.rate / max(1, sum(s.active for s in self.servers.values()))
+        share = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.cold_time
+        gain = self.tip_multiple * share * warm / 2
+        ep.budget = min(ep.budget + gain * (now - ep.budget_at), max(1.0, gain * self.tip_span))
+        ep.budget_at = now
+        return ep.budget >= 1.0
+
+    def _candidates(self, tun: Tunnel, now: float) -> list[Server]:
+        """The ready servers that this tunnel may go to."""
+        able = [ep for ep in self.servers.values() if ep.active and self._may_go(tun, ep, now)]
+        ready = [ep for ep in able if self._ready(ep, now)]
+        tried = [s.ep for s in tun.setups]
+        fresh = [ep for ep in ready if ep not in tried]
+        if fresh or ready:
+            return fresh or ready
+        # Guards against being left without servers because all look bad at once: then those that
+        # were suspended the longest ago count as ready.
+        bad = [ep for ep in able if ep.full_load < FULL and self._within_budget(ep, now)]
+        bad.sort(key=lambda ep: ep.out_until)
+        return bad[: max(2, len(bad) // 2)]
+
+    @staticmethod
+    def _may_go(tun: Tunnel, ep: Server, now: float) -> bool:
+        """Rule 2: where another setup has no second effect."""
+        ran = [s for s in tun.setups if s.may_have_run]
+        if not ran or tun.profile.semantics == "repeatable":
+            return True
+        if tun.profile.semantics == "once-only":
+            return False
+        first, group = ran[0], tun.profile.group
+        same = group == "all" or (
+            first.ep.zone == ep.zone if group == "zone" else first.ep.cell == ep.cell
+        )
+        return same and now < first.sent_at + tun.profile.window
+
+    @staticmethod
+    def _may_decline(tun: Tunnel) -> bool:
+        """Rule 2: a decline says that another try is harmless."""
+        if tun.profile.semantics == "repeatable" or not any(s.may_have_run for s in tun.setups):
+            return True
+        return tun.profile.semantics == "referenced" and tun.profile.group == "all"
+
+    # The ordinary path.
+
+    def _busy(self, ep: Server, mean: float) -> float:
+        return (mean if ep.busy is None else ep.busy) + ep.placed
+
+    def _mean_busy(self) -> float:
+        heard = [ep.busy + ep.placed for ep in self.servers.values() if ep.active and ep.busy is not None]
+        return sum(heard) / len(heard) if heard else 0.0
+
+    def _draw(self, ready: list[Server]) -> list[Server]:
+        return self.sample(ready, 2) if len(ready) > 1 else ready
+
+    def _offer(self, ready: list[Server], now: float) -> Server:
+        """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must."""
+        drawn = self._draw(ready)
+        if len(drawn) == 1:
+            return drawn[0]
+        mean = self._mean_busy()
+        taken = self._busy(drawn[0], mean) < self.c
+        self.top = max(self.top, self._busy(drawn[0], mean), self._busy(drawn[1], mean))
+        self.offers += 1
+        self.accepted += taken
+        if self.offers >= WINDOW:
+            self._steer(now)
+        return drawn[0] if taken else drawn[1]
+
+    def _steer(self, now: float) -> None:
+        """SR_dyn: the end of a window. c moves a step toward half acceptance; the counts start again."""
+        ratio = self.accepted / self.offers
+        if ratio < LOW and self.c < max(self.top, self.top_before):
+            self.c = min(self.c + self.step, max(self.top, self.top_before))
+        elif ratio > HIGH and self.c > 0:
+            self.c = max(0.0, self.c - self.step)
+        self.offers = self.accepted = 0
+        self.window_at = now
+
+    # Tunnels.
+
+    def tunnel(
+        self, name: str, profile: int, tenant: int, key: str, group: str, deadline: float, back: bool
+    ) -> Tunnel:
+        return Tunnel(name, self.profiles[profile], tenant, key, group, deadline - self.margin, back)
+
+    def arrived(self, tun: Tunnel, midflow: bool, now: float) -> None:
+        self.came += 1
+        holder = self._holder(tun) if midflow else None
+        if holder is not None:
+            self._send(tun, holder, now)
+        else:
+            self._place(tun, now)
+
+    def _holder(self, tun: Tunnel) -> Server | None:
+        """The server that has a mid-flow tunnel, as far as this balancer has seen it."""
+        for ep in self.servers.values():
+            if ep.active and tun.key and any(t.key == tun.key for t in ep.tunnels):
+                return ep
+        return None
+
+    def inherited(self, tun: Tunnel, ep: Server, now: float) -> None:
+        setup = Setup(ep, now)
+        tun.setups.append(setup)
+        tun.to(State.OPEN)
+
+    def _place(self, tun: Tunnel, now: float) -> None:
+        """Sends a held tunnel on, keeps it held while a server may yet turn up, or answers it."""
+        if now >= tun.deadline or len(tun.setups) >= self.max_setups:
+            self._answer(tun, now)
+            return
+        ready = self._candidates(tun, now)
+        if ready:
+            self._send(tun, self._offer(ready, now), now)
+        elif self._hopeful(tun, now):
+            self.held[tun] = None
+        else:
+            self._answer(tun, now)
+
+    def _hopeful(self, tun: Tunnel, now: float) -> bool:
+        """Waiting helps where a list may come or a cold server's budget grow, not where all are full."""
+        able = [ep for ep in self.servers.values() if ep.active]
+        if any(not self._may_go(tun, ep, now) for ep in able):
+            return False
+        waited = now - (tun.deadline - tun.profile.client_timeout)
+        full = able and all(ep.full_load >= FULL for ep in able)
+        return not full and waited < tun.profile.setup_goal and now + self.pace < tun.deadline
+
+    def _send(self, tun: Tunnel, ep: Server, now: float) -> None:
+        self.held.pop(tun, None)
+        tun.setups.append(Setup(ep, now))
+        tun.to(State.SETTING_UP)
+        self._add(ep, self.unit)
+        if ep.started and now - ep.started < self.cold_time:
+            ep.budget -= 1.0
+        self.host.setup(tun, ep, min(tun.profile.setup_goal, tun.deadline - now))
+
+    @staticmethod
+    def _add(ep: Server, amount: float) -> None:
+        ep.placed += amount
+        ep.since_sent += amount
+
+    def _answer(self, tun: Tunnel, now: float) -> None:
+        """The final answer of a tunnel that was given up."""
+        self.held.pop(tun, None)
+        tun.to(State.ENDED)
+        if self._may_decline(tun) and now < tun.deadline + self.margin:
+            self.host.decline(tun, min(self.come_back, 2 * tun.profile.setup_goal))
+        else:
+            self.host.close_with_error(tun)
+
+    def opened(self, tun: Tunnel, number: int, elapsed: float, now: float) -> None:
+        if tun.state is State.SETTING_UP and number == len(tun.setups) - 1:
+            tun.to(State.OPEN)
+            self._worked(tun.setups[number].ep, now)
+
+    def ended(
+        self, tun: Tunnel, number: int, ending: Ending, closed: bool, report: Report, now: float
+    ) -> None:
+        setup = tun.setups[number]
+        setup.out = False
+        setup.may_have_run = ending not in NEVER_RAN
+        was_open = tun.state is State.OPEN
+        if report:
+            self._heard(setup.ep, report, now)
+        if ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
+            self._struck(setup.ep, now)
+        if was_open:
+            self._add(setup.ep, -self.unit)
+        if tun.state is State.ENDED:
+            return
+        if closed:
+            self.held.pop(tun, None)
+            tun.to(State.ENDED)
+        elif not was_open:
+            if not was_open and not setup.may_have_run:
+                self._add(setup.ep, -self.unit)
+            tun.to(State.HELD)
+            self._place(tun, now)
+        else:  # an open tunnel whose end was not final
+            tun.to(State.ENDED)
+            self.host.close_with_error(tun)
+
+    def left(self, tun: Tunnel, now: float) -> None:
+        self.held.pop(tun, None)
+        if tun.state is State.ENDED:
+            return
+        was_open = tun.state is State.OPEN
+        tun.to(State.ENDED)
+        if not was_open and self.may_call_off:
+            for number, setup in enumerate(tun.setups):
+                if setup.out:
+                    self.host.call_off(tun, number)
+
+    def load_noted(self, tun: Tunnel, load: float) -> None:
+        tun.load = load
+
+    def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
+        """Messages at its server take long."""
+
+    # Health.
+
+    def _struck(self, ep: Server, now: float) -> None:
+        """A failure: not ready for a while, longer each time, so that it is tried seldom."""
+        if ep.out_until <= now:
+            ep.strikes = min(ep.strikes + 1, 4)
+            ep.out_until = now + self.goal * 4 * 2**ep.strikes * self.uniform(0.8, 1.2)
+
+    @staticmethod
+    def _worked(ep: Server, now: float) -> None:
+        if ep.out_until <= now:
+            ep.strikes = max(0, ep.strikes - 1)
+
+    # Reports.
+
+    def probed(self, ep: Server, ending: Ending, report: Report, now: float) -> None:
+        ep.probing = False
+        if ending == "ok" and report:
+            self._heard(ep, report, now)
+            ep.placed = ep.since_sent
+        elif ending in ("error", "timeout", "no-connection", "reset"):
+            self._struck(ep, now)
+
+    def _heard(self, ep: Server, report: Report, now: float) -> None:
+        ep.heard_at = now
+        ep.full_load = report.get("load", 0.0)
+        for word in ("connections", "load", "backlog"):
+            if word in report:
+                ep.busy = report[word]
+                ep.placed = 0.0
+                break
+
+    def told(self, peer: int, data: bytes, now: float) -> None:
+        """A message from another balancer."""
+
+    # By the clock.
+
+    def tick(self, now: float) -> None:
+        self.host.timer(self.pace)
+        span, self.tick_at = now - self.tick_at, now
+        weight = min(1.0, span / LONG)
+        self.rate += (self.came - self.rate * span) * weight / max(span, 1e-6)
+        self.came = 0
+        if self.asks and not self.watching and now >= self.ask_due:
+            self._ask(now)
+        if now - self.window_at >= WINDOW_TIME:
+            if self.offers >= WINDOW_LEAST:
+                self._steer(now)
+            else:
+                self.offers = self.accepted = 0
+                self.window_at = now
+        if now - self.top_at >= LONG:
+            self.top_before, self.top, self.top_at = self.top, 0.0, now
+        self._learn_unit()
+        if self.may_probe:
+            self._probe(now)
+        self._serve_held(now)
+
+    def _learn_unit(self) -> None:
+        """What one tunnel adds to a fractional figure: the load heard over the tunnels that make it."""
+        if not self.fraction:
+            return
+        heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
+        count = sum(len(ep.tunnels) for ep in heard)
+        if count >= 2 * len(heard) > 0:
+            self.unit = sum(ep.busy or 0.0 for ep in heard) / (count * self.balancers)
+
+    def _probe(self, now: float) -> None:
+        """Probes each server so often that all probes cost a set part of the credit asked for."""
+        live = [ep for ep in self.servers.values() if ep.active]
+        every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
+        every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
+        for ep in live:
+            if ep.probe_due <= now and not ep.probing:
+                ep.probing, ep.since_sent = True, 0.0
+                ep.probe_due = now + every * self.uniform(0.8, 1.2)
+                self.host.probe(ep)
+
+    def _serve_held(self, now: float) -> None:
+        for tun in list(self.held):
+            self._place(tun, now)
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import balancer, tunnel
+
+from pointgw.interface import Listed, Profile
+from pointgw.policy import Setup, State
+
+
+@pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
+def test_the_first_accepts_under_c_else_the_second_must(busy: float, c: float, takes: int) -> None:
+    bal, _, (first, second) = balancer([busy, busy])
+    bal.c = c
+    bal._draw = lambda ready: [first, second]  # type: ignore[method-assign]
+    assert bal._offer([first, second], 100.0) is (first, second)[takes]
+
+
+@pytest.mark.parametrize(
+    ("accepted", "offers", "c", "top", "then"),
+    [
+        (19, 50, 0.5, 1.0, 0.55),
+        (20, 50, 0.5, 1.0, 0.5),
+        (30, 50, 0.5, 1.0, 0.5),
+        (31, 50, 0.5, 1.0, 0.45),
+        (0, 50, 1.0, 1.0, 1.0),
+        (50, 50, 0.02, 1.0, 0.0),
+    ],
+)
+def test_c_moves_a_step_toward_half_acceptance(
+    accepted: int, offers: int, c: float, top: float, then: float
+) -> None:
+    bal, _, _ = balancer([0.5, 0.5])
+    bal.c, bal.top, bal.accepted, bal.offers = c, top, accepted, offers
+    bal._steer(101.0)
+    assert bal.c == pytest.approx(then)
+    assert (bal.offers, bal.accepted) == (0, 0)
+
+
+@pytest.mark.parametrize(("offers", "moves"), [(9, False), (10, True)])
+def test_a_window_closed_by_time_needs_ten_offers(offers: int, moves: bool) -> None:
+    bal, _, _ = balancer([0.5, 0.5])
+    bal.c, bal.top, bal.offers = 0.5, 1.0, offers
+    bal.tick(110.0)
+    assert (bal.c > 0.5) is moves
+    assert bal.offers == 0
+
+
+def test_own_placements_count_in_the_unit_of_the_figure_until_the_next_report() -> None:
+    bal, _, (ep, other) = balancer([0.2, None])
+    bal.unit = 0.03
+    bal._send(tunnel(bal), ep, 100.0)
+    assert bal._busy(ep, 0.0) == pytest.approx(0.23)
+    assert bal._busy(other, bal._mean_busy()) == pytest.approx(0.23)
+    ep.since_sent = 0.0
+    bal.probed(ep, "ok", {"load": 0.25}, 100.5)
+    assert bal._busy(ep, 0.0) == pytest.approx(0.25)
+
+
+@pytest.mark.parametrize(("loads", "asked"), [([], []), ([0.1], ["setup"])])
+def test_none_and_one_ready_server(loads: list[float | None], asked: list[str]) -> None:
+    bal, notes, _ = balancer(loads)
+    tun = tunnel(bal)
+    bal.arrived(tun, False, 100.0)
+    assert notes.words() == asked
+    assert tun.state is (State.SETTING_UP if asked else State.HELD)
+
+
+def test_given_up_is_answered_at_once_with_a_time_to_come_back() -> None:
+    bal, notes, servers = balancer([1.0, 1.0])
+    for ep in servers:
+        ep.full_load = 1.0
+    bal.arrived(tunnel(bal), False, 100.0)
+    assert notes.words() == ["decline"]
+    assert notes.asked[0][2] == 1.0
+
+
+def test_a_held_tunnel_is_answered_before_the_client_timeout() -> None:
+    bal, notes, _ = balancer([])
+    tun = tunnel(bal, left=0.2)
+    bal.arrived(tun, False, 100.0)
+    bal.tick(100.125)
+    assert notes.words() == ["decline"]
+
+
+ONCE = Profile("once-only", "all", 5.0, 0.5, 3.0, 1.0)
+ZONE = Profile("referenced", "zone", 5.0, 0.5, 3.0, 1.0)
+CELL = Profile("referenced", "cell", 0.5, 0.5, 3.0, 1.0)
+ALL = Profile("referenced", "all", 5.0, 0.5, 3.0, 1.0)
+ANY = Profile("repeatable", "all", 5.0, 0.5, 3.0, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("profile", "ending", "asked"),
+    [
+        (ANY, "error", "setup"),
+        (ONCE, "full", "setup"),
+        (ONCE, "no-connection", "setup"),
+        (ONCE, "error", "close_with_error"),
+        (ONCE, "timeout", "close_with_error"),
+        (ONCE, "cancelled", "close_with_error"),
+        (ZONE, "error", "setup"),
+        (CELL, "full", "setup"),
+        (CELL, "error", "close_with_error"),
+        (ALL, "reset", "setup"),
+    ],
+)
+def test_another_setup_has_no_second_effect(profile: Profile, ending: Any, asked: str) -> None:
+    bal, notes, servers = balancer([0.1] * 3, profiles=(profile,))
+    tun = tunnel(bal)
+    bal._send(tun, servers[0], 99.0)
+    notes.asked.clear()
+    bal.ended(tun, 0, ending, False, {}, 100.0)
+    assert notes.words() == [asked]
+    if profile is ZONE:
+        assert notes.asked[0][2].zone == servers[0].zone
+
+
+@pytest.mark.parametrize(
+    ("profile", "may"), [(ANY, True), (ONCE, False), (ZONE, False), (CELL, False), (ALL, True)]
+)
+def test_declined_only_where_another_try_is_harmless(profile: Profile, may: bool) -> None:
+    bal, _, servers = balancer([0.1], profiles=(profile,))
+    tun = tunnel(bal)
+    assert bal._may_decline(tun)
+    tun.setups.append(Setup(servers[0], 100.0))
+    assert bal._may_decline(tun) is may
+
+
+@pytest.mark.parametrize("state", ["leaving", "left"])
+def test_nothing_new_to_a_server_told_to_drain(state: Any) -> None:
+    bal, _, (ep, _) = balancer([0.1, 0.1])
+    bal.listed([Listed(ep.name, state, 0, 0, 0, 0.0, 1.0)], False, False, 100.0)
+    assert ep not in bal._candidates(tunnel(bal), 100.0)
+
+
+def test_a_server_missing_from_a_whole_list_is_gone() -> None:
+    bal, _, (ep, other) = balancer([0.1, 0.1])
+    bal.listed([Listed(other.name, "active", 0, 0, 0, 0.0, 1.0)], True, False, 100.0)
+    assert bal._candidates(tunnel(bal), 100.0) == [other] and not ep.active
+
+
+def test_the_watch_is_asked_again_after_a_failure_later_each_time() -> None:
+    bal, notes, _ = balancer([0.1], asks=True, may_probe=False)
+    waits = []
+    for _ in range(6):
+        bal.list_failed(100.0)
+        waits.append(bal.ask_due - 100.0)
+    assert waits[-1] > waits[0] > 0 and waits[-1] <= 1.5 * bal.ask_every
+    bal.tick(bal.ask_due)
+    assert notes.words() == ["watch"]
+
+
+@pytest.mark.parametrize(("budget", "age", "ready"), [(0.0, 0.1, False), (1.0, 0.1, True), (0.0, 20.0, True)])
+def test_a_cold_server_is_ready_within_its_budget(budget: float, age: float, ready: bool) -> None:
+    bal, _, (ep, _) = balancer([0.1, 0.1])
+    ep.started, ep.budget, ep.budget_at = 100.0 - age, budget, 100.0
+    assert bal._ready(ep, 100.0) is ready
+
+
+def test_a_cold_server_pays_for_each_tunnel() -> None:
+    bal, _, (ep, _) = balancer([0.1, 0.1])
+    ep.started, ep.budget, ep.budget_at = 99.0, 1.5, 100.0
+    bal._send(tunnel(bal), ep, 100.0)
+    assert not bal._ready(ep, 100.0)
+
+
+def test_a_quick_error_takes_a_server_out_of_the_draw_for_a_while() -> None:
+    # It holds next to nothing, stays under c and would accept most first offers.
+    bal, _, servers = balancer([0.0, 0.5, 0.5])
+    bal._struck(servers[0], 100.0)
+    assert servers[0] not in bal._candidates(tunnel(bal), 100.1)
+    assert servers[0] in bal._candidates(tunnel(bal), 200.0)
+
+
+def test_servers_that_all_look_bad_are_still_drawn() -> None:
+    bal, _, servers = balancer([0.5] * 4)
+    for ep in servers:
+        bal._struck(ep, 100.0)
+    assert len(bal._candidates(tunnel(bal), 100.1)) == 2
+
+
+def test_one_function_changes_state_and_refuses_what_cannot_be() -> None:
+    bal, _, _ = balancer([0.1])
+    tun = tunnel(bal)
+    tun.to(State.ENDED)
+    with pytest.raises(ValueError, match="cannot become"):
+        tun.to(State.OPEN)
