--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -19,7 +19,7 @@
 
 from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
 
-WINDOW = 50  # offers to a window of SR_dyn
+WINDOW = 20  # offers to a window of SR_dyn: at 1 to 3 offers a second 50 would not settle within a day
 WINDOW_TIME = 10.0  # seconds after which a window closes
 WINDOW_LEAST = 10  # offers under which a window closed by time leaves c unchanged
 LOW, HIGH = 0.4, 0.6  # acceptance under which c rises, over which it falls
@@ -143,7 +143,7 @@
         # SR_dyn.
         self.fraction = "connections" not in site.fields
         self.step = STEP if self.fraction else 1.0
-        self.c = 1.0
+        self.c, self.c_started = 1.0, False
         self.offers = self.accepted = 0
         self.window_at = self.top_at = now
         self.top = self.top_before = 0.0
@@ -274,6 +274,15 @@
             self._steer(now)
         return drawn[0] if taken else drawn[1]
 
+    def _start_c(self) -> None:
+        """c starts anew at the median of the first figures heard, which is half acceptance already.
+
+        Guards against a c that stays far from the figures all day, where each offer is plain chance.
+        """
+        heard = sorted(ep.busy for ep in self.servers.values() if ep.active and ep.busy is not None)
+        if 2 * len(heard) > sum(ep.active for ep in self.servers.values()):
+            self.c, self.c_started = heard[len(heard) // 2], True
+
     def _steer(self, now: float) -> None:
         """SR_dyn: the end of a window. c moves a step toward half acceptance; the counts start again."""
         ratio = self.accepted / self.offers
@@ -436,6 +445,8 @@
                 ep.busy = report[word]
                 ep.placed = 0.0
                 break
+        if not self.c_started:
+            self._start_c()
 
     def told(self, peer: int, data: bytes, now: float) -> None:
         """A message from another balancer."""
