--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -26,6 +26,7 @@
 STEP = 0.05  # of c, for a fractional busy figure
 NEVER_RAN = ("full", "no-connection", "moot")
 PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
+RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 FULL = 0.95  # load over capacity at which a server is not ready for more
 
@@ -50,11 +51,12 @@
 class Setup:
     """One try to set a tunnel up at a server."""
 
-    __slots__ = ("ep", "may_have_run", "out", "sent_at")
+    __slots__ = ("began", "ep", "may_have_run", "out", "sent_at")
 
     def __init__(self, ep: Server, now: float) -> None:
         self.ep, self.sent_at = ep, now
         self.out, self.may_have_run = True, True
+        self.began = False  # the tunnel was opened by it
 
 
 class Tunnel:
@@ -92,8 +94,8 @@
 
     __slots__ = (
         "active", "budget", "budget_at", "busy", "cell", "full_load", "heard_at", "kind", "listed", "name",
-        "out_until", "placed", "probe_due", "probing", "since_sent", "started", "strikes", "tunnels",
-        "weight", "zone",
+        "out_until", "placed", "probe_due", "probing", "since_sent", "started", "strikes", "trying",
+        "tunnels", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -102,6 +104,7 @@
         self.started, self.weight = 0.0, 1.0
         self.active = self.listed = False
         self.tunnels: dict[Tunnel, None] = {}  # open here, oldest first
+        self.trying = 0  # own setups that are out
         self.probing = False
         self.probe_due = 0.0
         self.since_sent = 0.0  # placed since the probe that is out was sent, in the unit of the busy figure
@@ -153,6 +156,7 @@
         self.tick_at = now
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}
+        self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self.host.timer(self.pace)
 
     # The server list.
@@ -221,11 +225,9 @@
         fresh = [ep for ep in ready if ep not in tried]
         if fresh or ready:
             return fresh or ready
-        # Guards against being left without servers because all look bad at once: then those that
-        # were suspended the longest ago count as ready.
-        bad = [ep for ep in able if ep.full_load < FULL and self._within_budget(ep, now)]
-        bad.sort(key=lambda ep: ep.out_until)
-        return bad[: max(2, len(bad) // 2)]
+        # Guards against being left without servers because all look bad at once, and against a storm on
+        # servers that are bad: each suspended server may have one setup out at a time.
+        return [ep for ep in able if not ep.trying and ep.full_load < FULL and self._within_budget(ep, now)]
 
     @staticmethod
     def _may_go(tun: Tunnel, ep: Server, now: float) -> bool:
@@ -236,9 +238,7 @@
         if tun.profile.semantics == "once-only":
             return False
         first, group = ran[0], tun.profile.group
-        same = group == "all" or (
-            first.ep.zone == ep.zone if group == "zone" else first.ep.cell == ep.cell
-        )
+        same = group == "all" or (first.ep.zone == ep.zone if group == "zone" else first.ep.cell == ep.cell)
         return same and now < first.sent_at + tun.profile.window
 
     @staticmethod
@@ -317,6 +317,7 @@
 
     def inherited(self, tun: Tunnel, ep: Server, now: float) -> None:
         setup = Setup(ep, now)
+        setup.began = True
         tun.setups.append(setup)
         tun.to(State.OPEN)
 
@@ -347,6 +348,7 @@
         tun.setups.append(Setup(ep, now))
         tun.to(State.SETTING_UP)
         self._add(ep, self.unit)
+        ep.trying += 1
         if ep.started and now - ep.started < self.cold_time:
             ep.budget -= 1.0
         self.host.setup(tun, ep, min(tun.profile.setup_goal, tun.deadline - now))
@@ -368,6 +370,9 @@
     def opened(self, tun: Tunnel, number: int, elapsed: float, now: float) -> None:
         if tun.state is State.SETTING_UP and number == len(tun.setups) - 1:
             tun.to(State.OPEN)
+            tun.setups[number].began = True
+            tun.setups[number].ep.trying -= 1
+            self.retries = min(self.retries + RETRY_SHARE, self.retry_top)
             self._worked(tun.setups[number].ep, now)
 
     def ended(
@@ -376,7 +381,8 @@
         setup = tun.setups[number]
         setup.out = False
         setup.may_have_run = ending not in NEVER_RAN
-        was_open = tun.state is State.OPEN
+        was_open = tun.setups[number].began
+        setup.ep.trying -= not was_open
         if report:
             self._heard(setup.ep, report, now)
         if ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
@@ -392,7 +398,12 @@
             if not was_open and not setup.may_have_run:
                 self._add(setup.ep, -self.unit)
             tun.to(State.HELD)
-            self._place(tun, now)
+            # Guards against a storm of our own making: where little is opened, little is tried again.
+            if self.retries >= 1.0:
+                self.retries -= 1.0
+                self._place(tun, now)
+            else:
+                self._answer(tun, now)
         else:  # an open tunnel whose end was not final
             tun.to(State.ENDED)
             self.host.close_with_error(tun)
