Readiness counts what all balancers are likely to have added since the report

Cause: several balancers fill the same server between two reports, and full servers still got tunnels.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -28,6 +28,7 @@
 PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
+NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL = 0.95  # load over capacity at which a server is not ready for more
 
 
@@ -151,6 +152,8 @@
         self.window_at = self.top_at = now
         self.top = self.top_before = 0.0
         self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
+        self.load_unit = STEP  # what one tunnel adds to the load of a server
+        self.others_too = self._load_of_placed()
         # Own arrivals a second, smoothed.
         self.rate, self.came = 1.0, 0
         self.tick_at = now
@@ -203,7 +206,15 @@
     # Readiness.
 
     def _ready(self, ep: Server, now: float) -> bool:
-        return ep.active and ep.out_until <= now and ep.full_load < FULL and self._within_budget(ep, now)
+        return ep.out_until <= now and self._has_room(ep) and self._within_budget(ep, now)
+
+    def _has_room(self, ep: Server) -> bool:
+        """Whether its reported load, with what all balancers are likely to have added since, is under FULL.
+
+        Guards against balancers that fill the same server between two reports, and against overload:
+        an overdriven server serves nobody and drops what it holds, which comes again at once.
+        """
+        return ep.full_load + ep.placed * self.others_too < FULL
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel."""
@@ -227,7 +238,7 @@
             return fresh or ready
         # Guards against being left without servers because all look bad at once, and against a storm on
         # servers that are bad: each suspended server may have one setup out at a time.
-        return [ep for ep in able if not ep.trying and ep.full_load < FULL and self._within_budget(ep, now)]
+        return [ep for ep in able if not ep.trying and self._has_room(ep) and self._within_budget(ep, now)]
 
     @staticmethod
     def _may_go(tun: Tunnel, ep: Server, now: float) -> bool:
@@ -335,13 +346,12 @@
             self._answer(tun, now)
 
     def _hopeful(self, tun: Tunnel, now: float) -> bool:
-        """Waiting helps where a list may come or a cold server's budget grow, not where all are full."""
+        """Waiting helps for a setup goal: a list, a report or a cold server's budget may come."""
         able = [ep for ep in self.servers.values() if ep.active]
         if any(not self._may_go(tun, ep, now) for ep in able):
             return False
         waited = now - (tun.deadline - tun.profile.client_timeout)
-        full = able and all(ep.full_load >= FULL for ep in able)
-        return not full and waited < tun.profile.setup_goal and now + self.pace < tun.deadline
+        return waited < tun.profile.setup_goal and now + self.pace < tun.deadline
 
     def _send(self, tun: Tunnel, ep: Server, now: float) -> None:
         self.held.pop(tun, None)
@@ -486,13 +496,18 @@
         self._serve_held(now)
 
     def _learn_unit(self) -> None:
-        """What one tunnel adds to a fractional figure: the load heard over the tunnels that make it."""
-        if not self.fraction:
-            return
+        """What one tunnel adds to a load: the load heard over the tunnels that make it."""
         heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
         count = sum(len(ep.tunnels) for ep in heard)
         if count >= 2 * len(heard) > 0:
-            self.unit = sum(ep.busy or 0.0 for ep in heard) / (count * self.balancers)
+            self.load_unit = sum(ep.full_load for ep in heard) / (count * self.balancers)
+            if self.fraction:
+                self.unit = self.load_unit
+            self.others_too = self._load_of_placed()
+
+    def _load_of_placed(self) -> float:
+        """Load that all balancers are likely to have placed for one unit of own placements."""
+        return self.balancers * (1.0 if self.fraction else self.load_unit)
 
     def _probe(self, now: float) -> None:
         """Probes each server so often that all probes cost a set part of the credit asked for."""
@@ -500,7 +515,8 @@
         every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
         every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
         for ep in live:
-            if ep.probe_due <= now and not ep.probing:
+            full = ep.placed * self.others_too >= NEWS and now - ep.heard_at >= 2 * self.pace
+            if (full or ep.probe_due <= now) and not ep.probing:
                 ep.probing, ep.since_sent = True, 0.0
                 ep.probe_due = now + every * self.uniform(0.8, 1.2)
                 self.host.probe(ep)
