Overdriven servers have their excess moved off; readiness ends at 0.85 of capacity

Cause: an overdriven server answers no message in time and drops what it holds, which comes again at once; nothing took load off it. Each balancer now moves the same part of its own tunnels.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -29,7 +29,9 @@
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
-FULL = 0.95  # load over capacity at which a server is not ready for more
+FULL = 0.85  # load over capacity at which a server is not ready for more
+OVER = 0.95  # load over capacity from which open tunnels are moved off, down to FULL
+SETTLE = 4  # setup goals after such a move before the reports are believed to show it
 
 
 class State(Enum):
@@ -95,8 +97,8 @@
 
     __slots__ = (
         "active", "budget", "budget_at", "busy", "cell", "full_load", "heard_at", "kind", "listed", "name",
-        "out_until", "placed", "probe_due", "probing", "since_sent", "started", "strikes", "trying",
-        "tunnels", "weight", "zone",
+        "out_until", "placed", "probe_due", "probing", "shed_at", "since_sent", "started", "strikes",
+        "trying", "tunnels", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -117,6 +119,7 @@
         self.full_load = 0.0  # load over capacity of the latest report
         self.heard_at = 0.0
         self.placed = 0.0  # own placements since that report, in its unit
+        self.shed_at = 0.0  # when tunnels were last moved off
         self.strikes = 0
         self.out_until = 0.0  # not ready before this
         self.budget, self.budget_at = 0.0, 0.0  # tunnels that may be sent while it is cold
@@ -455,6 +458,7 @@
         if ending == "ok" and report:
             self._heard(ep, report, now)
             ep.placed = ep.since_sent
+            self._shed(ep, now)
         elif ending in ("error", "timeout", "no-connection", "reset"):
             self._struck(ep, now)
 
@@ -469,6 +473,31 @@
         if not self.c_started:
             self._start_c()
 
+    def _shed(self, ep: Server, now: float) -> None:
+        """Moves this balancer's share of what a server holds too much.
+
+        Guards against a fleet or a server that is asked for more than it can do (overload, a slowed
+        machine, a noisy neighbour): it would answer no messages in time and drop tunnels anyway. All
+        balancers hear the same load, so the same part of each one's tunnels takes it down to FULL.
+        """
+        if ep.full_load < OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
+            return
+        ep.shed_at = now
+        part = 1.0 - FULL / ep.full_load
+        known = [tun.load for tun in ep.tunnels if tun.load]
+        usual = sum(known) / len(known) if known else 1.0
+        excess = part * sum(tun.load or usual for tun in ep.tunnels)
+        # The heaviest first, else the newest: the fewest clients are sent round.
+        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
+        for tun in order:
+            weight = tun.load or usual
+            if excess < weight * self.chance():
+                break
+            excess -= weight
+            tun.to(State.ENDED)
+            self._add(ep, -self.unit)
+            self.host.move(tun)
+
     def told(self, peer: int, data: bytes, now: float) -> None:
         """A message from another balancer."""
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -79,6 +79,17 @@
     assert notes.asked[-1][2] == 1.0
 
 
+@pytest.mark.parametrize(("load", "moved"), [(0.94, 0), (1.7, 10)])
+def test_the_excess_of_an_overdriven_server_is_moved_off_once(load: float, moved: int) -> None:
+    bal, notes, (ep, _) = balancer([0.5, 0.5])
+    for _ in range(20):
+        bal.inherited(tunnel(bal), ep, 100.0)
+    bal.chance = lambda: 1.0
+    bal.probed(ep, "ok", {"load": load}, 110.0)
+    bal.probed(ep, "ok", {"load": load}, 110.1)  # it may not show the move yet
+    assert notes.words() == ["move"] * moved and len(ep.tunnels) == 20 - moved
+
+
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
     bal, _, (ep, _) = balancer([0.5, 0.5], balancers=4)
     ep.full_load, bal.unit = 0.5, 0.06
