Candidates are drawn among the ready servers that hold the tunnel's group

Cause: each server that holds any tunnel of a group pays for the group once, so plain chance scatters groups and makes load out of nothing.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -87,8 +87,12 @@
         ep = self.setups[-1].ep if self.setups else None
         if ep is not None and state is State.OPEN:
             ep.tunnels[self] = None
+            ep.groups[self.group] = ep.groups.get(self.group, 0) + 1
         elif ep is not None and self.state is State.OPEN:
-            ep.tunnels.pop(self, None)
+            del ep.tunnels[self]
+            ep.groups[self.group] -= 1
+            if not ep.groups[self.group]:
+                del ep.groups[self.group]
         self.state = state
 
 
@@ -96,8 +100,8 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "budget", "budget_at", "busy", "cell", "full_load", "heard_at", "kind", "listed", "name",
-        "out_until", "placed", "probe_due", "probing", "shed_at", "since_sent", "started", "strikes",
+        "active", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at", "kind",
+        "listed", "name", "out_until", "placed", "probe_due", "probing", "shed_at", "since_sent", "started", "strikes",
         "trying", "tunnels", "weight", "zone",
     )  # fmt: skip
 
@@ -107,6 +111,7 @@
         self.started, self.weight = 0.0, 1.0
         self.active = self.listed = False
         self.tunnels: dict[Tunnel, None] = {}  # open here, oldest first
+        self.groups: dict[str, int] = {}  # of those, how many of each group
         self.trying = 0  # own setups that are out
         self.probing = False
         self.probe_due = 0.0
@@ -130,7 +135,7 @@
 
     def __init__(self, site: Site, host: Host, rng: Random, now: float) -> None:
         self.host = host
-        self.uniform, self.sample, self.chance = rng.uniform, rng.sample, rng.random
+        self.uniform, self.sample, self.choice, self.chance = rng.uniform, rng.sample, rng.choice, rng.random
         self.servers: dict[str, Server] = {}
         self.profiles = site.profiles
         self.balancers, self.zone = site.balancers, site.zone
@@ -271,12 +276,21 @@
         heard = [ep.busy + ep.placed for ep in self.servers.values() if ep.active and ep.busy is not None]
         return sum(heard) / len(heard) if heard else 0.0
 
-    def _draw(self, ready: list[Server]) -> list[Server]:
-        return self.sample(ready, 2) if len(ready) > 1 else ready
+    def _draw(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
+        """Two different ready servers at random; of those that hold the tunnel's group, as far as there are.
 
-    def _offer(self, ready: list[Server], now: float) -> Server:
+        A server pays for a group once: scattering it would make load out of nothing.
+        """
+        holders = [ep for ep in ready if tun.group in ep.groups] if tun.group else []
+        if len(holders) > 1 or len(ready) < 2:
+            return self.sample(holders or ready, min(2, len(holders or ready)))
+        if holders:
+            return [holders[0], self.choice([ep for ep in ready if ep is not holders[0]])]
+        return self.sample(ready, 2)
+
+    def _offer(self, tun: Tunnel, ready: list[Server], now: float) -> Server:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must."""
-        drawn = self._draw(ready)
+        drawn = self._draw(tun, ready)
         if len(drawn) == 1:
             return drawn[0]
         mean = self._mean_busy()
@@ -342,7 +356,7 @@
             return
         ready = self._candidates(tun, now)
         if ready:
-            self._send(tun, self._offer(ready, now), now)
+            self._send(tun, self._offer(tun, ready, now), now)
         elif self._hopeful(tun, now):
             self.held[tun] = None
         else:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -13,8 +13,8 @@
 def test_the_first_accepts_under_c_else_the_second_must(busy: float, c: float, takes: int) -> None:
     bal, _, (first, second) = balancer([busy, busy])
     bal.c = c
-    bal._draw = lambda ready: [first, second]  # type: ignore[method-assign]
-    assert bal._offer([first, second], 100.0) is (first, second)[takes]
+    bal._draw = lambda tun, ready: [first, second]  # type: ignore[method-assign]
+    assert bal._offer(tunnel(bal), [first, second], 100.0) is (first, second)[takes]
 
 
 @pytest.mark.parametrize(
