--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -16,7 +16,6 @@
 from collections.abc import Iterable
 from enum import Enum
 from random import Random
-from zlib import crc32
 
 from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
 
@@ -102,8 +101,8 @@
 
     __slots__ = (
         "active", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at", "kind",
-        "listed", "name", "out_until", "placed", "probe_due", "probing", "shed_at", "since_sent", "started", "strikes",
-        "trying", "tunnels", "weight", "zone",
+        "listed", "name", "out_until", "placed", "probe_due", "probing", "shed_at", "since_sent",
+        "started", "strikes", "trying", "tunnels", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -282,11 +281,12 @@
 
         A server pays for a group once: scattering it would make load out of nothing.
         """
-        if len(ready) < 2:
-            return ready
-        if not tun.group:
-            return self.sample(ready, 2)
-        return sorted(ready, key=lambda ep: crc32(f"{tun.group} {ep.name}".encode()))[:2]
+        holders = [ep for ep in ready if tun.group in ep.groups] if tun.group else []
+        if len(holders) > 1 or len(ready) < 2:
+            return self.sample(holders or ready, min(2, len(holders or ready)))
+        if holders:
+            return [holders[0], self.choice([ep for ep in ready if ep is not holders[0]])]
+        return self.sample(ready, 2)
 
     def _offer(self, tun: Tunnel, ready: list[Server], now: float) -> Server:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must."""
