--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,7 +6,7 @@
 from helpers import balancer, tunnel
 
 from pointgw.interface import Listed, Profile
-from pointgw.policy import Setup, State
+from pointgw.policy import FULL, OVER, Setup, State
 
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
@@ -79,7 +79,7 @@
     assert notes.asked[-1][2] == 1.0
 
 
-@pytest.mark.parametrize(("load", "moved"), [(0.94, 0), (1.7, 10)])
+@pytest.mark.parametrize(("load", "moved"), [(OVER - 0.01, 0), (2 * FULL, 10)])
 def test_the_excess_of_an_overdriven_server_is_moved_off_once(load: float, moved: int) -> None:
     bal, notes, (ep, _) = balancer([0.5, 0.5])
     for _ in range(20):
@@ -92,7 +92,7 @@
 
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
     bal, _, (ep, _) = balancer([0.5, 0.5], balancers=4)
-    ep.full_load, bal.unit = 0.5, 0.06
+    ep.full_load, bal.unit = FULL - 0.35, 0.06
     bal._send(tunnel(bal), ep, 100.0)
     assert bal._ready(ep, 100.0)
     bal._send(tunnel(bal), ep, 100.0)
