--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -29,8 +29,8 @@
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
-FULL = 0.75  # load over capacity at which a server is not ready for more
-OVER = 0.85  # load over capacity from which open tunnels are moved off, down to FULL
+FULL = 0.65  # load over capacity at which a server is not ready for more
+OVER = 0.75  # load over capacity from which open tunnels are moved off, down to FULL
 SETTLE = 4  # setup goals after such a move before the reports are believed to show it
 
 
