--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -29,8 +29,8 @@
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
-FULL = 0.65  # load over capacity at which a server is not ready for more
-OVER = 0.75  # load over capacity from which open tunnels are moved off, down to FULL
+FULL = 0.75  # load over capacity at which a server is not ready for more
+OVER = 0.85  # load over capacity from which open tunnels are moved off, down to FULL
 SETTLE = 4  # setup goals after such a move before the reports are believed to show it
 
 
@@ -500,14 +500,17 @@
         part = 1.0 - FULL / ep.full_load
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
-        excess = part * sum(tun.load or usual for tun in ep.tunnels)
-        # The heaviest first, else the newest: the fewest clients are sent round.
-        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
-        for tun in order:
-            weight = tun.load or usual
-            if excess < weight * self.chance():
+        # What each would relieve: its load, and its part of the group that the server pays for once.
+        relief = {
+            tun: (tun.load or usual) / usual + (1 / ep.groups[tun.group] if tun.group else 0.0)
+            for tun in reversed(ep.tunnels)
+        }
+        excess = part * sum(relief.values())
+        # The most relief first, else the newest: the fewest clients are sent round.
+        for tun in sorted(relief, key=lambda tun: -relief[tun]):
+            if excess < relief[tun] * self.chance():
                 break
-            excess -= weight
+            excess -= relief[tun]
             tun.to(State.ENDED)
             self._add(ep, -self.unit)
             self.host.move(tun)
