--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -500,17 +500,14 @@
         part = 1.0 - FULL / ep.full_load
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
-        # What each would relieve: its load, and its part of the group that the server pays for once.
-        relief = {
-            tun: (tun.load or usual) / usual + (1 / ep.groups[tun.group] if tun.group else 0.0)
-            for tun in reversed(ep.tunnels)
-        }
-        excess = part * sum(relief.values())
-        # The most relief first, else the newest: the fewest clients are sent round.
-        for tun in sorted(relief, key=lambda tun: -relief[tun]):
-            if excess < relief[tun] * self.chance():
+        excess = part * sum(tun.load or usual for tun in ep.tunnels)
+        # The heaviest first, else the newest: the fewest clients are sent round.
+        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
+        for tun in order:
+            weight = tun.load or usual
+            if excess < weight * self.chance():
                 break
-            excess -= relief[tun]
+            excess -= weight
             tun.to(State.ENDED)
             self._add(ep, -self.unit)
             self.host.move(tun)
