The limit of readiness follows the fleet's mean load, between 0.5 and 0.65

Cause: one fixed limit is too high to even out a quiet fleet and too low where the whole fleet is above it.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -29,8 +29,9 @@
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
-FULL = 0.75  # load over capacity at which a server is not ready for more
-OVER = 0.85  # load over capacity from which open tunnels are moved off, down to FULL
+FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
+ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
+OVER = 0.1  # load over that limit from which open tunnels are moved off, down to it
 SETTLE = 4  # setup goals after such a move before the reports are believed to show it
 
 
@@ -162,6 +163,7 @@
         self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
         self.load_unit = STEP  # what one tunnel adds to the load of a server
         self.others_too = self._load_of_placed()
+        self.full = FULL
         # Own arrivals a second, smoothed.
         self.rate, self.came = 1.0, 0
         self.tick_at = now
@@ -222,7 +224,7 @@
         Guards against balancers that fill the same server between two reports, and against overload:
         an overdriven server serves nobody and drops what it holds, which comes again at once.
         """
-        return ep.full_load + ep.placed * self.others_too < FULL
+        return ep.full_load + ep.placed * self.others_too < self.full
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel."""
@@ -494,10 +496,10 @@
         machine, a noisy neighbour): it would answer no messages in time and drop tunnels anyway. All
         balancers hear the same load, so the same part of each one's tunnels takes it down to FULL.
         """
-        if ep.full_load < OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
+        if ep.full_load < self.full + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
-        part = 1.0 - FULL / ep.full_load
+        part = 1.0 - self.full / ep.full_load
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
@@ -541,6 +543,9 @@
     def _learn_unit(self) -> None:
         """What one tunnel adds to a load: the load heard over the tunnels that make it."""
         heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
+        if heard:
+            mean = sum(ep.full_load for ep in heard) / len(heard)
+            self.full = min(max(FULL_LEAST, ABOVE * mean), FULL)
         count = sum(len(ep.tunnels) for ep in heard)
         if count >= 2 * len(heard) > 0:
             self.load_unit = sum(ep.full_load for ep in heard) / (count * self.balancers)
