Endings and moves make no room before a report shows them

Cause: each tunnel that ended or was moved off lowered the busy figure by the mean tunnel's load at once, though its group stays; another was let in for each, so overloaded servers stayed over their limit. Told apart from too high a limit by the tap: few declines in the first ten seconds though the median load was over 1.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -222,7 +222,9 @@
         """Whether its reported load, with what all balancers are likely to have added since, is under FULL.
 
         Guards against balancers that fill the same server between two reports, and against overload:
-        an overdriven server serves nobody and drops what it holds, which comes again at once.
+        an overdriven server serves nobody and drops what it holds, which comes again at once. What ended
+        or was moved off since makes no room before a report shows it: a tunnel gone is less than the mean
+        tunnel's load, as its group may stay, and one let in for each gone would keep the server full.
         """
         return ep.full_load + ep.placed * self.others_too < self.full
 
@@ -416,15 +418,13 @@
             self._heard(setup.ep, report, now)
         if ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
             self._struck(setup.ep, now)
-        if was_open:
-            self._add(setup.ep, -self.unit)
         if tun.state is State.ENDED:
             return
         if closed:
             self.held.pop(tun, None)
             tun.to(State.ENDED)
         elif not was_open:
-            if not was_open and not setup.may_have_run:
+            if not setup.may_have_run:
                 self._add(setup.ep, -self.unit)
             tun.to(State.HELD)
             # Guards against a storm of our own making: where little is opened, little is tried again.
@@ -511,7 +511,6 @@
                 break
             excess -= weight
             tun.to(State.ENDED)
-            self._add(ep, -self.unit)
             self.host.move(tun)
 
     def told(self, peer: int, data: bytes, now: float) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -90,6 +90,16 @@
     assert notes.words() == ["move"] * moved and len(ep.tunnels) == 20 - moved
 
 
+def test_what_has_ended_or_moved_off_makes_no_room_before_a_report_shows_it() -> None:
+    # One tunnel gone is not the mean tunnel's load gone: its group stays, and others were let in for it.
+    bal, _, (ep, _) = balancer([0.9, 0.5])
+    ep.full_load = 0.9
+    tun = tunnel(bal)
+    bal.inherited(tun, ep, 99.0)
+    bal.ended(tun, 0, "ok", True, {}, 100.0)
+    assert ep.placed == 0.0 and not bal._ready(ep, 100.0)
+
+
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
     bal, _, (ep, _) = balancer([0.5, 0.5], balancers=4)
     ep.full_load, bal.unit = FULL - 0.35, 0.06
