--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -27,6 +27,7 @@
 NEVER_RAN = ("full", "no-connection", "moot")
 PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
+COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
@@ -164,6 +165,9 @@
         self.load_unit = STEP  # what one tunnel adds to the load of a server
         self.others_too = self._load_of_placed()
         self.full = FULL
+        # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
+        self.open_time, self.ended_well = 4 * self.cold_time, 1
+        self.cold_gain = 0.0  # own tunnels a second to a server that starts, were it warm
         # Own arrivals a second, smoothed.
         self.rate, self.came = 1.0, 0
         self.tick_at = now
@@ -233,9 +237,8 @@
         age = now - ep.started
         if not ep.started or age >= self.cold_time:
             return True
-        warm = self.rate / max(1, sum(s.active for s in self.servers.values()))
         share = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.cold_time
-        gain = self.tip_multiple * share * warm / 2
+        gain = self.cold_gain * share
         ep.budget = min(ep.budget + gain * (now - ep.budget_at), max(1.0, gain * self.tip_span))
         ep.budget_at = now
         return ep.budget >= 1.0
@@ -416,6 +419,8 @@
         setup.ep.trying -= not was_open
         if report:
             self._heard(setup.ep, report, now)
+        if was_open and ending == "ok":
+            self.ended_well += 1
         if ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
             self._struck(setup.ep, now)
         if tun.state is State.ENDED:
@@ -534,23 +539,30 @@
                 self.window_at = now
         if now - self.top_at >= LONG:
             self.top_before, self.top, self.top_at = self.top, 0.0, now
-        self._learn_unit()
+        self._learn()
         if self.may_probe:
             self._probe(now)
         self._serve_held(now)
 
-    def _learn_unit(self) -> None:
-        """What one tunnel adds to a load: the load heard over the tunnels that make it."""
+    def _learn(self) -> None:
+        """What the limit is, what one tunnel adds to a load, and what a cold server may get."""
         heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
         if heard:
             mean = sum(ep.full_load for ep in heard) / len(heard)
             self.full = min(max(FULL_LEAST, ABOVE * mean), FULL)
         count = sum(len(ep.tunnels) for ep in heard)
+        self.open_time += count * self.pace
         if count >= 2 * len(heard) > 0:
-            self.load_unit = sum(ep.full_load for ep in heard) / (count * self.balancers)
+            # Never nought, also where the servers report no load at all.
+            total = sum(ep.full_load for ep in heard)
+            self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
             if self.fraction:
                 self.unit = self.load_unit
             self.others_too = self._load_of_placed()
+        # Rule 4. A warm server can take as many tunnels a second as fill it in one life. This follows what
+        # lasts, not what arrives, and so guards against a storm of clients that come again raising it.
+        warm = self.ended_well / (self.load_unit * self.open_time)
+        self.cold_gain = COLD_SAFE * self.tip_multiple * warm / self.balancers
 
     def _load_of_placed(self) -> float:
         """Load that all balancers are likely to have placed for one unit of own placements."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -192,6 +192,20 @@
     assert bal._ready(ep, 100.0) is ready
 
 
+@pytest.mark.parametrize("load", [0.0, 0.5])
+def test_a_cold_servers_budget_follows_what_lasts_not_what_arrives(load: float) -> None:
+    bal, _, servers = balancer([load, load])
+    for ep in servers:
+        ep.full_load = load
+        for _ in range(3):
+            bal.inherited(tunnel(bal), ep, 99.0)
+    bal._learn()
+    before = bal.cold_gain
+    bal.came, bal.rate = 500, 500.0  # a storm of clients that come again
+    bal._learn()
+    assert 0.0 < bal.cold_gain <= before
+
+
 def test_a_cold_server_pays_for_each_tunnel() -> None:
     bal, _, (ep, _) = balancer([0.1, 0.1])
     ep.started, ep.budget, ep.budget_at = 99.0, 1.5, 100.0
