--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -288,12 +288,16 @@
 
         A server pays for a group once: scattering it would make load out of nothing.
         """
-        holders = [ep for ep in ready if tun.group in ep.groups] if tun.group else []
-        if len(holders) > 1 or len(ready) < 2:
-            return self.sample(holders or ready, min(2, len(holders or ready)))
-        if holders:
-            return [holders[0], self.choice([ep for ep in ready if ep is not holders[0]])]
-        return self.sample(ready, 2)
+        if len(ready) < 2:
+            return ready
+        first = self._pick(tun, ready)
+        return [first, self._pick(tun, [ep for ep in ready if ep is not first])]
+
+    def _pick(self, tun: Tunnel, ready: list[Server]) -> Server:
+        near = [ep for ep in ready if ep.zone == self.zone] or ready
+        if tun.group:
+            near = [ep for ep in near if tun.group in ep.groups] or near
+        return self.choice(near)
 
     def _offer(self, tun: Tunnel, ready: list[Server], now: float) -> Server:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must."""
@@ -509,7 +513,7 @@
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
         # The heaviest first, else the newest: the fewest clients are sent round.
-        order = sorted(reversed(ep.tunnels), key=lambda tun: (not tun.back, -tun.load))
+        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
         for tun in order:
             weight = tun.load or usual
             if excess < weight * self.chance():
