--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -137,7 +137,7 @@
 
     def __init__(self, site: Site, host: Host, rng: Random, now: float) -> None:
         self.host = host
-        self.uniform, self.sample, self.choice, self.chance = rng.uniform, rng.sample, rng.choice, rng.random
+        self.uniform, self.choice, self.chance = rng.uniform, rng.choice, rng.random
         self.servers: dict[str, Server] = {}
         self.profiles = site.profiles
         self.balancers, self.zone = site.balancers, site.zone
@@ -284,9 +284,10 @@
         return sum(heard) / len(heard) if heard else 0.0
 
     def _draw(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
-        """Two different ready servers at random; of those that hold the tunnel's group, as far as there are.
+        """Two different ready servers at random: of those that hold the tunnel's group, if there are any, and
+        of those in the balancer's own zone, if there are any.
 
-        A server pays for a group once: scattering it would make load out of nothing.
+        A server pays for a group once: scattering it would make load out of nothing. A crossing has a price.
         """
         if len(ready) < 2:
             return ready
@@ -294,10 +295,9 @@
         return [first, self._pick(tun, [ep for ep in ready if ep is not first])]
 
     def _pick(self, tun: Tunnel, ready: list[Server]) -> Server:
-        near = [ep for ep in ready if ep.zone == self.zone] or ready
-        if tun.group:
-            near = [ep for ep in near if tun.group in ep.groups] or near
-        return self.choice(near)
+        held = [ep for ep in ready if tun.group in ep.groups] if tun.group else []
+        pool = held or ready
+        return self.choice([ep for ep in pool if ep.zone == self.zone] or pool)
 
     def _offer(self, tun: Tunnel, ready: list[Server], now: float) -> Server:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must."""
