Unheard servers have room as the others have, and are asked again after four setup goals

Told apart from real overload by the tap: declines before the first load was heard. News probes also wait a setup goal.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -33,7 +33,7 @@
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
 OVER = 0.2  # load over that limit from which open tunnels are moved off, down to it
-SETTLE = 4  # setup goals after such a move before the reports are believed to show it
+SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
 
 
 class State(Enum):
@@ -165,6 +165,7 @@
         self.load_unit = STEP  # what one tunnel adds to the load of a server
         self.others_too = self._load_of_placed()
         self.full = FULL
+        self.mean_load: float | None = None
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
         self.open_time, self.ended_well = 4 * self.cold_time, 1
         self.cold_gain = 0.0  # own tunnels a second to a server that starts, were it warm
@@ -230,7 +231,9 @@
         or was moved off since makes no room before a report shows it: a tunnel gone is less than the mean
         tunnel's load, as its group may stay, and one let in for each gone would keep the server full.
         """
-        return ep.full_load + ep.placed * self.others_too < self.full
+        load = self.mean_load if ep.busy is None else ep.full_load
+        # With no report at all there is no unit to count in either: then all have room.
+        return load is None or load + ep.placed * self.others_too < self.full
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel."""
@@ -552,8 +555,8 @@
         """What the limit is, what one tunnel adds to a load, and what a cold server may get."""
         heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
         if heard:
-            mean = sum(ep.full_load for ep in heard) / len(heard)
-            self.full = min(max(FULL_LEAST, ABOVE * mean), FULL)
+            self.mean_load = sum(ep.full_load for ep in heard) / len(heard)
+            self.full = min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
         count = sum(len(ep.tunnels) for ep in heard)
         self.open_time += count * self.pace
         if count >= 2 * len(heard) > 0:
@@ -578,10 +581,12 @@
         every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
         every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
         for ep in live:
-            full = ep.placed * self.others_too >= NEWS and now - ep.heard_at >= 2 * self.pace
-            if (full or ep.probe_due <= now) and not ep.probing:
+            news = ep.placed * self.others_too >= NEWS and now - ep.heard_at >= self.goal
+            if (news or ep.probe_due <= now) and not ep.probing:
                 ep.probing, ep.since_sent = True, 0.0
-                ep.probe_due = now + every * self.uniform(0.8, 1.2)
+                # A probe may bring no report, as when the server has none yet: asked again sooner.
+                wait = min(every, SETTLE * self.goal) if ep.busy is None else every
+                ep.probe_due = now + wait * self.uniform(0.8, 1.2)
                 self.host.probe(ep)
 
     def _serve_held(self, now: float) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -112,6 +112,15 @@
     assert ep.placed == 0.0 and not bal._ready(ep, 100.0)
 
 
+@pytest.mark.parametrize(("heard", "room"), [(None, True), (0.3, True), (0.9, False)])
+def test_an_unheard_server_has_room_as_the_others_have(heard: float | None, room: bool) -> None:
+    bal, _, (ep, other) = balancer([None, heard], balancers=17)
+    other.full_load = heard or 0.0
+    bal._learn()
+    bal._send(tunnel(bal), other, 100.0)
+    assert bal._has_room(ep) is room
+
+
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
     bal, _, (ep, _) = balancer([0.5, 0.5], balancers=4)
     ep.full_load, bal.unit = FULL - 0.35, 0.06
