Placements of the last setup goal stay counted when a report comes

Cause: reports are refreshed and delivered late, so a report that comes does not show what was just placed, and servers overshoot.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -103,7 +103,7 @@
 
     __slots__ = (
         "active", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at", "kind",
-        "listed", "name", "out_until", "placed", "probe_due", "probing", "shed_at", "since_sent",
+        "listed", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
         "started", "strikes", "trying", "tunnels", "weight", "zone",
     )  # fmt: skip
 
@@ -117,7 +117,6 @@
         self.trying = 0  # own setups that are out
         self.probing = False
         self.probe_due = 0.0
-        self.since_sent = 0.0  # placed since the probe that is out was sent, in the unit of the busy figure
         self.forget()
 
     def forget(self) -> None:
@@ -125,7 +124,7 @@
         self.busy: float | None = None  # of the latest report; None: unheard
         self.full_load = 0.0  # load over capacity of the latest report
         self.heard_at = 0.0
-        self.placed = 0.0  # own placements since that report, in its unit
+        self.recent: list[float] = []  # when own placements were made that the report does not show yet
         self.shed_at = 0.0  # when tunnels were last moved off
         self.strikes = 0
         self.out_until = 0.0  # not ready before this
@@ -163,7 +162,7 @@
         self.top = self.top_before = 0.0
         self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
         self.load_unit = STEP  # what one tunnel adds to the load of a server
-        self.others_too = self._load_of_placed()
+        self.all_place = STEP * site.balancers  # what all balancers are likely to add while this one adds one
         self.full = FULL
         self.mean_load: float | None = None
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
@@ -233,7 +232,7 @@
         """
         load = self.mean_load if ep.busy is None else ep.full_load
         # With no report at all there is no unit to count in either: then all have room.
-        return load is None or load + ep.placed * self.others_too < self.full
+        return load is None or load + len(ep.recent) * self.all_place < self.full
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel."""
@@ -280,11 +279,11 @@
     # The ordinary path.
 
     def _busy(self, ep: Server, mean: float) -> float:
-        return (mean if ep.busy is None else ep.busy) + ep.placed
+        return (mean if ep.busy is None else ep.busy) + len(ep.recent) * self.unit
 
     def _mean_busy(self) -> float:
-        heard = [ep.busy + ep.placed for ep in self.servers.values() if ep.active and ep.busy is not None]
-        return sum(heard) / len(heard) if heard else 0.0
+        heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
+        return sum(self._busy(ep, 0.0) for ep in heard) / len(heard) if heard else 0.0
 
     def _draw(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
         """Two different ready servers at random: of those that hold the tunnel's group, if there are any, and
@@ -388,17 +387,12 @@
         self.held.pop(tun, None)
         tun.setups.append(Setup(ep, now))
         tun.to(State.SETTING_UP)
-        self._add(ep, self.unit)
+        ep.recent.append(now)
         ep.trying += 1
         if ep.started and now - ep.started < self.cold_time:
             ep.budget -= 1.0
         self.host.setup(tun, ep, min(tun.profile.setup_goal, tun.deadline - now))
 
-    @staticmethod
-    def _add(ep: Server, amount: float) -> None:
-        ep.placed += amount
-        ep.since_sent += amount
-
     def _answer(self, tun: Tunnel, now: float) -> None:
         """The final answer of a tunnel that was given up."""
         self.held.pop(tun, None)
@@ -436,8 +430,8 @@
             self.held.pop(tun, None)
             tun.to(State.ENDED)
         elif not was_open:
-            if not setup.may_have_run:
-                self._add(setup.ep, -self.unit)
+            if not setup.may_have_run and setup.sent_at in setup.ep.recent:
+                setup.ep.recent.remove(setup.sent_at)
             tun.to(State.HELD)
             # Guards against a storm of our own making: where little is opened, little is tried again.
             if self.retries >= 1.0:
@@ -485,7 +479,6 @@
         ep.probing = False
         if ending == "ok" and report:
             self._heard(ep, report, now)
-            ep.placed = ep.since_sent
             self._shed(ep, now)
         elif ending in ("error", "timeout", "no-connection", "reset"):
             self._struck(ep, now)
@@ -496,8 +489,9 @@
         for word in ("connections", "load", "backlog"):
             if word in report:
                 ep.busy = report[word]
-                ep.placed = 0.0
                 break
+        # Guards against reports that are late: what was placed in the last setup goal is not in them yet.
+        ep.recent = [at for at in ep.recent if at > now - self.goal]
         if not self.c_started:
             self._start_c()
 
@@ -565,25 +559,21 @@
             self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
             if self.fraction:
                 self.unit = self.load_unit
-            self.others_too = self._load_of_placed()
+            self.all_place = self.load_unit * self.balancers
         # Rule 4. A warm server can take as many tunnels a second as fill it in one life. This follows what
         # lasts, not what arrives, and so guards against a storm of clients that come again raising it.
         warm = self.ended_well / (self.load_unit * self.open_time)
         self.cold_gain = COLD_SAFE * self.tip_multiple * warm / self.balancers
 
-    def _load_of_placed(self) -> float:
-        """Load that all balancers are likely to have placed for one unit of own placements."""
-        return self.balancers * (1.0 if self.fraction else self.load_unit)
-
     def _probe(self, now: float) -> None:
         """Probes each server so often that all probes cost a set part of the credit asked for."""
         live = [ep for ep in self.servers.values() if ep.active]
         every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
         every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
         for ep in live:
-            news = ep.placed * self.others_too >= NEWS and now - ep.heard_at >= self.goal
+            news = len(ep.recent) * self.all_place >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing:
-                ep.probing, ep.since_sent = True, 0.0
+                ep.probing = True
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
                 wait = min(every, SETTLE * self.goal) if ep.busy is None else every
                 ep.probe_due = now + wait * self.uniform(0.8, 1.2)
