--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -28,6 +28,7 @@
 PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
+LATE = 2  # setup goals until a placement shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
@@ -490,8 +491,8 @@
             if word in report:
                 ep.busy = report[word]
                 break
-        # Guards against reports that are late: what was placed in the last setup goal is not in them yet.
-        ep.recent = [at for at in ep.recent if at > now - self.goal]
+        # Guards against reports that are late: what was placed just before is not in them yet.
+        ep.recent = [at for at in ep.recent if at > now - LATE * self.goal]
         if not self.c_started:
             self._start_c()
 
