--- a/pointgw/drill/host.py
+++ b/pointgw/drill/host.py
@@ -174,7 +174,8 @@
         self.balancer.tick(now)
 
     def on_datagram(self, fields: Fields, now: float) -> None:
-        self.balancer.told(codec.whole(fields, "originPeer"), codec.payload(fields, "bytes"), now)
+        codec.whole(fields, "originPeer")
+        self.balancer.told(codec.payload(fields, "bytes"), now)
 
 
 EVENTS: dict[str, Callable[[Instance, Fields, float], None]] = {
