--- a/pointgw/drill/host.py
+++ b/pointgw/drill/host.py
@@ -174,8 +174,7 @@
         self.balancer.tick(now)
 
     def on_datagram(self, fields: Fields, now: float) -> None:
-        codec.whole(fields, "originPeer")
-        self.balancer.told(codec.payload(fields, "bytes"), now)
+        self.balancer.told(codec.whole(fields, "originPeer"), codec.payload(fields, "bytes"), now)
 
 
 EVENTS: dict[str, Callable[[Instance, Fields, float], None]] = {
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -16,9 +16,6 @@
 from collections.abc import Iterable
 from enum import Enum
 from random import Random
-from struct import error as BadLength
-from struct import iter_unpack, pack
-from zlib import crc32
 
 from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
 
@@ -31,8 +28,6 @@
 PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
-TOLD, TOLD_MOST = "!Iee", 32  # a report between balancers (mark, busy figure, load); most in a message
-MOST = 60000.0  # the highest figure that goes between balancers
 LATE = 2  # setup goals until a placement shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
@@ -109,13 +104,12 @@
 
     __slots__ = (
         "active", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at", "kind",
-        "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
+        "listed", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
         "started", "strikes", "trying", "tunnels", "weight", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self.mark = crc32(name.encode())  # its name between balancers
         self.kind = self.cell = self.zone = 0
         self.started, self.weight = 0.0, 1.0
         self.active = self.listed = False
@@ -178,12 +172,7 @@
         # Own arrivals a second, smoothed.
         self.rate, self.came = 1.0, 0
         self.tick_at = now
-        self.may_probe, self.may_tell = site.may_probe, site.may_tell and site.balancers > 1
-        # Servers probed once a second that the spending on probes pays for, for each own arrival a second.
-        probers = 1 if self.may_tell else site.balancers
-        self.probe_paid = PROBE_SPEND * site.balancers / (probers * max(site.probe_price, 1e-6))
-        self.probe_every = WINDOW_TIME / 2
-        self.to_tell: list[bytes] = []
+        self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self.host.timer(self.pace)
@@ -491,24 +480,21 @@
         ep.probing = False
         if ending == "ok" and report:
             self._heard(ep, report, now)
-            if self.may_tell and ep.busy is not None:
-                self.to_tell.append(pack(TOLD, ep.mark, min(ep.busy, MOST), min(ep.full_load, MOST)))
+            self._shed(ep, now)
         elif ending in ("error", "timeout", "no-connection", "reset"):
             self._struck(ep, now)
 
     def _heard(self, ep: Server, report: Report, now: float) -> None:
+        ep.heard_at = now
+        ep.full_load = report.get("load", 0.0)
         for word in ("connections", "load", "backlog"):
             if word in report:
-                self._believe(ep, report[word], report.get("load", 0.0), now)
+                ep.busy = report[word]
                 break
-
-    def _believe(self, ep: Server, busy: float, load: float, now: float) -> None:
-        ep.busy, ep.full_load, ep.heard_at = busy, load, now
         # Guards against reports that are late: what was placed just before is not in them yet.
         ep.recent = [at for at in ep.recent if at > now - LATE * self.goal]
         if not self.c_started:
             self._start_c()
-        self._shed(ep, now)
 
     def _shed(self, ep: Server, now: float) -> None:
         """Moves this balancer's share of what a server holds too much.
@@ -534,21 +520,8 @@
             tun.to(State.ENDED)
             self.host.move(tun)
 
-    def told(self, data: bytes, now: float) -> None:
-        """Reports that another balancer has probed: they save probes, and are as late as a message is.
-
-        A server that the own list has not named stays unknown. Bytes of another make are passed over.
-        """
-        marks = {ep.mark: ep for ep in self.servers.values()}
-        try:
-            told = list(iter_unpack(TOLD, data))
-        except BadLength:
-            return
-        for mark, busy, load in told:
-            ep = marks.get(mark)
-            if ep is not None and 0 <= busy <= MOST and 0 <= load <= MOST:
-                self._believe(ep, busy, load, now)
-                ep.probe_due = max(ep.probe_due, now + self.probe_every * self.uniform(0.8, 1.2))
+    def told(self, peer: int, data: bytes, now: float) -> None:
+        """A message from another balancer."""
 
     # By the clock.
 
@@ -596,8 +569,8 @@
     def _probe(self, now: float) -> None:
         """Probes each server so often that all probes cost a set part of the credit asked for."""
         live = [ep for ep in self.servers.values() if ep.active]
-        every = len(live) / (max(self.rate, 0.1) * self.probe_paid)
-        self.probe_every = every = min(max(every, self.goal), WINDOW_TIME / 2)
+        every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
+        every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
         for ep in live:
             news = len(ep.recent) * self.all_place >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing:
@@ -606,9 +579,6 @@
                 wait = min(every, SETTLE * self.goal) if ep.busy is None else every
                 ep.probe_due = now + wait * self.uniform(0.8, 1.2)
                 self.host.probe(ep)
-        if self.to_tell:
-            self.host.tell(b"".join(self.to_tell[:TOLD_MOST]))
-            del self.to_tell[:TOLD_MOST]
 
     def _serve_held(self, now: float) -> None:
         for tun in list(self.held):
