--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -28,6 +28,7 @@
 PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
+SMOOTH = 0.5  # weight of a new report in the load that readiness and moves go by
 LATE = 2  # setup goals until a placement shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
@@ -486,7 +487,8 @@
 
     def _heard(self, ep: Server, report: Report, now: float) -> None:
         ep.heard_at = now
-        ep.full_load = report.get("load", 0.0)
+        load = report.get("load", 0.0)
+        ep.full_load = load if ep.busy is None else ep.full_load + SMOOTH * (load - ep.full_load)
         for word in ("connections", "load", "backlog"):
             if word in report:
                 ep.busy = report[word]
