--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -28,7 +28,6 @@
 PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
-SMOOTH = 0.5  # weight of a new report in the load that readiness and moves go by
 LATE = 2  # setup goals until a placement shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
@@ -487,8 +486,7 @@
 
     def _heard(self, ep: Server, report: Report, now: float) -> None:
         ep.heard_at = now
-        load = report.get("load", 0.0)
-        ep.full_load = load if ep.busy is None else ep.full_load + SMOOTH * (load - ep.full_load)
+        ep.full_load = report.get("load", 0.0)
         for word in ("connections", "load", "backlog"):
             if word in report:
                 ep.busy = report[word]
@@ -508,7 +506,7 @@
         if ep.full_load < self.full + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
-        part = 1.0 - self.full / ep.full_load
+        part = (1.0 - self.full / ep.full_load) / 2
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
