--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -221,7 +221,7 @@
     # Readiness.
 
     def _ready(self, ep: Server, now: float) -> bool:
-        return ep.out_until <= now and self._has_room(ep) and self._within_budget(ep, now)
+        return ep.active and ep.out_until <= now and self._has_room(ep) and self._within_budget(ep, now)
 
     def _has_room(self, ep: Server) -> bool:
         """Whether its reported load, with what all balancers are likely to have added since, is under FULL.
@@ -506,7 +506,7 @@
         if ep.full_load < self.full + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
-        part = (1.0 - self.full / ep.full_load) / 2
+        part = 1.0 - self.full / ep.full_load
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
@@ -542,6 +542,7 @@
         if now - self.top_at >= LONG:
             self.top_before, self.top, self.top_at = self.top, 0.0, now
         self._learn()
+        self._empty(now)
         if self.may_probe:
             self._probe(now)
         self._serve_held(now)
@@ -566,6 +567,23 @@
         warm = self.ended_well / (self.load_unit * self.open_time)
         self.cold_gain = COLD_SAFE * self.tip_multiple * warm / self.balancers
 
+    def _empty(self, now: float) -> None:
+        """Moves tunnels off servers that leave, a few at a time, while others are ready.
+
+        Guards against all of them being cut off together when the server stops.
+        """
+        for ep in self.servers.values():
+            if (
+                ep.tunnels
+                and not ep.active
+                and ep.listed
+                and any(self._ready(s, now) for s in self.servers.values())
+            ):
+                few = len(ep.tunnels) * self.pace / (SETTLE * self.goal)
+                for tun in list(ep.tunnels)[: int(few + self.chance())]:
+                    tun.to(State.ENDED)
+                    self.host.move(tun)
+
     def _probe(self, now: float) -> None:
         """Probes each server so often that all probes cost a set part of the credit asked for."""
         live = [ep for ep in self.servers.values() if ep.active]
