--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -25,7 +25,7 @@
 LOW, HIGH = 0.4, 0.6  # acceptance under which c rises, over which it falls
 STEP = 0.05  # of c, for a fractional busy figure
 NEVER_RAN = ("full", "no-connection", "moot")
-PROBE_SPEND = 0.01  # of the credit asked for: what probes may cost
+PROBE_SPEND = 0.005  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
 LATE = 2  # setup goals until a placement shows in the reports
@@ -221,7 +221,7 @@
     # Readiness.
 
     def _ready(self, ep: Server, now: float) -> bool:
-        return ep.active and ep.out_until <= now and self._has_room(ep) and self._within_budget(ep, now)
+        return ep.out_until <= now and self._has_room(ep) and self._within_budget(ep, now)
 
     def _has_room(self, ep: Server) -> bool:
         """Whether its reported load, with what all balancers are likely to have added since, is under FULL.
@@ -542,7 +542,6 @@
         if now - self.top_at >= LONG:
             self.top_before, self.top, self.top_at = self.top, 0.0, now
         self._learn()
-        self._empty(now)
         if self.may_probe:
             self._probe(now)
         self._serve_held(now)
@@ -567,23 +566,6 @@
         warm = self.ended_well / (self.load_unit * self.open_time)
         self.cold_gain = COLD_SAFE * self.tip_multiple * warm / self.balancers
 
-    def _empty(self, now: float) -> None:
-        """Moves tunnels off servers that leave, a few at a time, while others are ready.
-
-        Guards against all of them being cut off together when the server stops.
-        """
-        for ep in self.servers.values():
-            if (
-                ep.tunnels
-                and not ep.active
-                and ep.listed
-                and any(self._ready(s, now) for s in self.servers.values())
-            ):
-                few = len(ep.tunnels) * self.pace / (SETTLE * self.goal)
-                for tun in list(ep.tunnels)[: int(few + self.chance())]:
-                    tun.to(State.ENDED)
-                    self.host.move(tun)
-
     def _probe(self, now: float) -> None:
         """Probes each server so often that all probes cost a set part of the credit asked for."""
         live = [ep for ep in self.servers.values() if ep.active]
