--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -165,7 +165,6 @@
         self.load_unit = STEP  # what one tunnel adds to the load of a server
         self.all_place = STEP * site.balancers  # what all balancers are likely to add while this one adds one
         self.full = FULL
-        self.per_conn = 1.0
         self.mean_load: float | None = None
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
         self.open_time, self.ended_well = 4 * self.cold_time, 1
@@ -281,11 +280,7 @@
     # The ordinary path.
 
     def _busy(self, ep: Server, mean: float) -> float:
-        if ep.busy is None:
-            return mean + len(ep.recent) * self.unit
-        if self.fraction or not ep.full_load or not self.mean_load:
-            return ep.busy + len(ep.recent) * self.unit
-        return ep.full_load / self.per_conn + len(ep.recent)
+        return (mean if ep.busy is None else ep.busy) + len(ep.recent) * self.unit
 
     def _mean_busy(self) -> float:
         heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
@@ -326,9 +321,7 @@
 
         Guards against a c that stays far from the figures all day, where each offer is plain chance.
         """
-        heard = sorted(
-            self._busy(ep, 0.0) for ep in self.servers.values() if ep.active and ep.busy is not None
-        )
+        heard = sorted(ep.busy for ep in self.servers.values() if ep.active and ep.busy is not None)
         if 2 * len(heard) > sum(ep.active for ep in self.servers.values()):
             self.c, self.c_started = heard[len(heard) // 2], True
 
@@ -558,8 +551,6 @@
         heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
         if heard:
             self.mean_load = sum(ep.full_load for ep in heard) / len(heard)
-            conns = sum(ep.busy or 0.0 for ep in heard)
-            self.per_conn = max(self.mean_load * len(heard) / max(conns, 1.0), 1e-4)
             self.full = min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
         count = sum(len(ep.tunnels) for ep in heard)
         self.open_time += count * self.pace
