--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -19,7 +19,7 @@
 
 from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
 
-WINDOW = 10  # offers to a window of SR_dyn: at 1 to 3 offers a second 50 would not settle within a day
+WINDOW = 20  # offers to a window of SR_dyn: at 1 to 3 offers a second 50 would not settle within a day
 WINDOW_TIME = 10.0  # seconds after which a window closes
 WINDOW_LEAST = 10  # offers under which a window closed by time leaves c unchanged
 LOW, HIGH = 0.4, 0.6  # acceptance under which c rises, over which it falls
@@ -322,7 +322,7 @@
         Guards against a c that stays far from the figures all day, where each offer is plain chance.
         """
         heard = sorted(ep.busy for ep in self.servers.values() if ep.active and ep.busy is not None)
-        if 4 * len(heard) > 3 * sum(ep.active for ep in self.servers.values()):
+        if 2 * len(heard) > sum(ep.active for ep in self.servers.values()):
             self.c, self.c_started = heard[len(heard) // 2], True
 
     def _steer(self, now: float) -> None:
@@ -511,7 +511,7 @@
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
         # The heaviest first, else the newest: the fewest clients are sent round.
-        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
+        order = sorted(reversed(ep.tunnels), key=lambda tun: (-tun.load, ep.groups[tun.group]))
         for tun in order:
             weight = tun.load or usual
             if excess < weight * self.chance():
