--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -511,7 +511,7 @@
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
         # The heaviest first, else the newest: the fewest clients are sent round.
-        order = sorted(reversed(ep.tunnels), key=lambda tun: (-tun.load, ep.groups[tun.group]))
+        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
         for tun in order:
             weight = tun.load or usual
             if excess < weight * self.chance():
