--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -163,7 +163,7 @@
         self.top = self.top_before = 0.0
         self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
         self.load_unit = STEP  # what one tunnel adds to the load of a server
-        self.mean_recent = 0.0  # own placements not shown yet, for each server with room
+        self.all_place = STEP * site.balancers  # what all balancers are likely to add while this one adds one
         self.full = FULL
         self.mean_load: float | None = None
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
@@ -233,11 +233,7 @@
         """
         load = self.mean_load if ep.busy is None else ep.full_load
         # With no report at all there is no unit to count in either: then all have room.
-        return load is None or load + self._added(ep) < self.full
-
-    def _added(self, ep: Server) -> float:
-        """Load likely added since the report: own ones, and their mean for each other balancer."""
-        return self.load_unit * (len(ep.recent) + (self.balancers - 1) * self.mean_recent)
+        return load is None or load + len(ep.recent) * self.all_place < self.full
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel."""
@@ -564,8 +560,7 @@
             self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
             if self.fraction:
                 self.unit = self.load_unit
-        room = sum(ep.active and ep.full_load < self.full for ep in self.servers.values())
-        self.mean_recent = sum(len(ep.recent) for ep in self.servers.values()) / max(1, room)
+            self.all_place = self.load_unit * self.balancers
         # Rule 4. A warm server can take as many tunnels a second as fill it in one life. This follows what
         # lasts, not what arrives, and so guards against a storm of clients that come again raising it.
         warm = self.ended_well / (self.load_unit * self.open_time)
@@ -577,7 +572,7 @@
         every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
         every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
         for ep in live:
-            news = ep.recent and self._added(ep) >= NEWS and now - ep.heard_at >= self.goal
+            news = len(ep.recent) * self.all_place >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing:
                 ep.probing = True
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
