--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -33,7 +33,7 @@
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
-OVER = 0.2  # load over that limit from which open tunnels are moved off, down to it
+OVER = 0.15  # load over that limit from which open tunnels are moved off, down to it
 SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
 
 
