A tunnel waits for a ready server up to half of the client timeout

Cause: a declined client comes back later and later, up to 30 s, though a report that makes room comes within a second.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -28,12 +28,13 @@
 PROBE_SPEND = 0.005  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
+WAIT = 0.5  # of the client timeout: how long a tunnel waits for a ready server
 LATE = 2  # setup goals until a placement shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
-OVER = 0.15  # load over that limit from which open tunnels are moved off, down to it
+OVER = 0.2  # load over that limit from which open tunnels are moved off, down to it
 SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
 
 
@@ -377,12 +378,12 @@
             self._answer(tun, now)
 
     def _hopeful(self, tun: Tunnel, now: float) -> bool:
-        """Waiting helps for a setup goal: a list, a report or a cold server's budget may come."""
+        """Waiting may help: a list, a report or a cold server's budget may come. A declined client waits longer."""
         able = [ep for ep in self.servers.values() if ep.active]
         if any(not self._may_go(tun, ep, now) for ep in able):
             return False
         waited = now - (tun.deadline - tun.profile.client_timeout)
-        return waited < tun.profile.setup_goal and now + self.pace < tun.deadline
+        return waited < WAIT * tun.profile.client_timeout and now + self.pace < tun.deadline
 
     def _send(self, tun: Tunnel, ep: Server, now: float) -> None:
         self.held.pop(tun, None)
