--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -28,7 +28,7 @@
 PROBE_SPEND = 0.005  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
-WAIT = 0.8  # of the client timeout: how long a tunnel waits for a ready server
+WAIT = 0.5  # of the client timeout: how long a tunnel waits for a ready server
 LATE = 2  # setup goals until a placement shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
@@ -378,7 +378,7 @@
             self._answer(tun, now)
 
     def _hopeful(self, tun: Tunnel, now: float) -> bool:
-        """Waiting may help: a list, a report or a cold server's budget may come. A declined client waits longer."""
+        """Waiting may help: a list, a report or a cold budget may come; a declined client stays away longer."""
         able = [ep for ep in self.servers.values() if ep.active]
         if any(not self._may_go(tun, ep, now) for ep in able):
             return False
