--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -422,11 +422,6 @@
         setup.ep.trying -= not was_open
         if report:
             self._heard(setup.ep, report, now)
-        if was_open and ending == "reset" and setup.ep.active:
-            # It drops what it holds: full until a report says otherwise. Guards against sending those that
-            # were dropped to the server that still looks as it did before.
-            setup.ep.full_load = max(setup.ep.full_load, 1.0)
-            setup.ep.probe_due = min(setup.ep.probe_due, max(now, setup.ep.heard_at + self.goal))
         if was_open and ending == "ok":
             self.ended_well += 1
         if ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
