--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -372,9 +372,7 @@
         if now >= tun.deadline or len(tun.setups) >= self.max_setups:
             self._answer(tun, now)
             return
-        # Guards the tenants within their shares against one that is not, where the fleet is crowded.
-        crowded = self.full >= FULL and tun.tenant in self.over_share
-        ready = [] if crowded else self._candidates(tun, now)
+        ready = self._candidates(tun, now)
         if ready:
             self._send(tun, self._offer(tun, ready, now), now)
         elif self._hopeful(tun, now):
