--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -174,9 +174,6 @@
         self.rate, self.came = 1.0, 0
         self.tick_at = now
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
-        # Own open tunnels of each tenant within its share, if all balancers hold as many; those over it.
-        self.shares = [quota / site.balancers for quota in site.tenant_quota]
-        self.over_share: set[int] = set()
         self.held: dict[Tunnel, None] = {}
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self.host.timer(self.pace)
@@ -515,7 +512,7 @@
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
         # The heaviest first, else the newest: the fewest clients are sent round.
-        order = sorted(reversed(ep.tunnels), key=lambda tun: (tun.tenant not in self.over_share, -tun.load))
+        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
         for tun in order:
             weight = tun.load or usual
             if excess < weight * self.chance():
@@ -546,8 +543,6 @@
         if now - self.top_at >= LONG:
             self.top_before, self.top, self.top_at = self.top, 0.0, now
         self._learn()
-        if self.shares:
-            self._count_shares()
         if self.may_probe:
             self._probe(now)
         self._serve_held(now)
@@ -572,14 +567,6 @@
         warm = self.ended_well / (self.load_unit * self.open_time)
         self.cold_gain = COLD_SAFE * self.tip_multiple * warm / self.balancers
 
-    def _count_shares(self) -> None:
-        count = [0] * len(self.shares)
-        for ep in self.servers.values():
-            for tun in ep.tunnels:
-                if tun.tenant < len(count):
-                    count[tun.tenant] += 1
-        self.over_share = {i for i, share in enumerate(self.shares) if count[i] > share}
-
     def _probe(self, now: float) -> None:
         """Probes each server so often that all probes cost a set part of the credit asked for."""
         live = [ep for ep in self.servers.values() if ep.active]
