--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -28,7 +28,6 @@
 PROBE_SPEND = 0.005  # of the credit asked for: what probes may cost
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
-SLOW = 1.0  # setup goals: a message that takes longer makes its server not ready
 WAIT = 0.5  # of the client timeout: how long a tunnel waits for a ready server
 LATE = 2  # setup goals until a placement shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
@@ -461,13 +460,13 @@
         tun.load = load
 
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
-        """Messages at its server take long: not ready while such notes come.
+        """Messages at its server take long: its load is asked for, as it may have changed.
 
-        Guards against a noisy neighbour, which slows a server whose busy figure stays under c.
+        Guards against a noisy neighbour, which slows a server while its last report still looks well.
         """
-        if tun.state is State.OPEN and delay > SLOW * self.goal:
+        if tun.state is State.OPEN and delay > self.goal:
             ep = tun.setups[-1].ep
-            ep.out_until = max(ep.out_until, now + SETTLE * self.goal)
+            ep.probe_due = min(ep.probe_due, max(now, ep.heard_at + self.goal))
 
     # Health.
 
