--- a/pointgw/drill/host.py
+++ b/pointgw/drill/host.py
@@ -90,43 +90,34 @@
             raise Malformed(f"expected a tunnel that was handed in and is not over, got {name!r}")
         return tun
 
-    def new_id(self, fields: Fields) -> str:
+    def new_tunnel(self, fields: Fields, deadline: float) -> Tunnel:
         name = codec.text(fields, "xid")
         if name in self.tunnels:
             raise Malformed(f"expected a new tunnel, got {name!r} again")
-        return name
-
-    def drop_done(self, tun: Tunnel) -> None:
-        if tun.done:
-            self.tunnels.pop(tun.name, None)
-
-    def on_job_in(self, fields: Fields, now: float) -> None:
-        name = self.new_id(fields)
         tun = self.balancer.tunnel(
             name,
             self.profile(fields),
             codec.whole(fields, "owner", 0),
             fields.get("routeKey", ""),
             fields.get("teamId", ""),
-            now + codec.seconds(fields, "expiresIn"),
+            deadline,
             codec.flag(fields, "cameBack", False),
         )
         self.tunnels[name] = tun
+        return tun
+
+    def drop_done(self, tun: Tunnel) -> None:
+        if tun.done:
+            self.tunnels.pop(tun.name, None)
+
+    def on_job_in(self, fields: Fields, now: float) -> None:
+        tun = self.new_tunnel(fields, now + codec.seconds(fields, "expiresIn"))
         self.balancer.arrived(tun, codec.flag(fields, "stray", False), now)
         self.drop_done(tun)
 
     def on_inherited(self, fields: Fields, now: float) -> None:
-        name, ep = self.new_id(fields), self.server(fields)
-        tun = self.balancer.tunnel(
-            name,
-            self.profile(fields),
-            codec.whole(fields, "owner", 0),
-            fields.get("routeKey", ""),
-            fields.get("teamId", ""),
-            now,
-            codec.flag(fields, "cameBack", False),
-        )
-        self.tunnels[name] = tun
+        ep = self.server(fields)
+        tun = self.new_tunnel(fields, now)
         self.balancer.inherited(tun, ep, now)
 
     def profile(self, fields: Fields) -> int:
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -164,7 +164,6 @@
         self.top = self.top_before = 0.0
         self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
         self.load_unit = STEP  # what one tunnel adds to the load of a server
-        self.all_place = STEP * site.balancers  # what all balancers are likely to add while this one adds one
         self.full = FULL
         self.mean_load: float | None = None
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
@@ -234,7 +233,11 @@
         """
         load = self.mean_load if ep.busy is None else ep.full_load
         # With no report at all there is no unit to count in either: then all have room.
-        return load is None or load + len(ep.recent) * self.all_place < self.full
+        return load is None or load + self._added(ep) < self.full
+
+    def _added(self, ep: Server) -> float:
+        """Load that all balancers are likely to have added since, each as this one did."""
+        return len(ep.recent) * (self.load_unit * self.balancers)
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel."""
@@ -283,8 +286,11 @@
     def _busy(self, ep: Server, mean: float) -> float:
         return (mean if ep.busy is None else ep.busy) + len(ep.recent) * self.unit
 
+    def _heard_of(self) -> list[Server]:
+        return [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
+
     def _mean_busy(self) -> float:
-        heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
+        heard = self._heard_of()
         return sum(self._busy(ep, 0.0) for ep in heard) / len(heard) if heard else 0.0
 
     def _draw(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
@@ -418,7 +424,7 @@
         setup = tun.setups[number]
         setup.out = False
         setup.may_have_run = ending not in NEVER_RAN
-        was_open = tun.setups[number].began
+        was_open = setup.began
         setup.ep.trying -= not was_open
         if report:
             self._heard(setup.ep, report, now)
@@ -552,7 +558,7 @@
 
     def _learn(self) -> None:
         """What the limit is, what one tunnel adds to a load, and what a cold server may get."""
-        heard = [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
+        heard = self._heard_of()
         if heard:
             self.mean_load = sum(ep.full_load for ep in heard) / len(heard)
             self.full = min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
@@ -564,7 +570,6 @@
             self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
             if self.fraction:
                 self.unit = self.load_unit
-            self.all_place = self.load_unit * self.balancers
         # Rule 4. A warm server can take as many tunnels a second as fill it in one life. This follows what
         # lasts, not what arrives, and so guards against a storm of clients that come again raising it.
         warm = self.ended_well / (self.load_unit * self.open_time)
@@ -576,7 +581,7 @@
         every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
         every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
         for ep in live:
-            news = len(ep.recent) * self.all_place >= NEWS and now - ep.heard_at >= self.goal
+            news = self._added(ep) >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing:
                 ep.probing = True
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -124,7 +124,7 @@
 
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
     bal, _, (ep, _) = balancer([0.5, 0.5], balancers=4)
-    ep.full_load, bal.all_place = FULL - 0.35, 0.24
+    ep.full_load, bal.load_unit = FULL - 0.35, 0.06
     bal._send(tunnel(bal), ep, 100.0)
     assert bal._ready(ep, 100.0)
     bal._send(tunnel(bal), ep, 100.0)
