Candidates with old reports are asked before they are offered a tunnel

Change: the wait of probes by the clock has no cap; a candidate whose report is older than four setup goals is asked before the offer, within 0.012 of the credit.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -25,7 +25,10 @@
 LOW, HIGH = 0.4, 0.6  # acceptance under which c rises, over which it falls
 STEP = 0.05  # of c, for a fractional busy figure
 NEVER_RAN = ("full", "no-connection", "moot")
-PROBE_SPEND = 0.005  # of the credit asked for: what probes may cost
+PROBE_SPEND = 0.005  # of the credit asked for: what probes by the clock may cost
+ASK_SPEND = 0.012  # of the credit asked for: what asking candidates before an offer may cost
+FRESH = 4  # setup goals for which a report is taken as it is, before a candidate is asked again
+KEPT = 10  # setup goals for which a report tells who has room, where the server may be asked again
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
 WAIT = 0.5  # of the client timeout: how long a tunnel waits for a ready server
@@ -42,13 +45,15 @@
     """Where a tunnel stands."""
 
     HELD = "held"  # no setup is out; it waits for a server
+    ASKING = "asking"  # no setup is out; one of its two candidates is asked for its load
     SETTING_UP = "setting up"
     OPEN = "open"
     ENDED = "ended"
 
 
 NEXT = {
-    State.HELD: (State.SETTING_UP, State.OPEN, State.ENDED),
+    State.HELD: (State.ASKING, State.SETTING_UP, State.OPEN, State.ENDED),
+    State.ASKING: (State.HELD, State.SETTING_UP, State.ENDED),
     State.SETTING_UP: (State.HELD, State.OPEN, State.ENDED),
     State.OPEN: (State.ENDED,),
     State.ENDED: (),
@@ -69,7 +74,9 @@
 class Tunnel:
     """One client connection, from its arrival to its end."""
 
-    __slots__ = ("back", "deadline", "group", "key", "load", "name", "profile", "setups", "state", "tenant")
+    __slots__ = (
+        "back", "deadline", "drawn", "group", "key", "load", "name", "profile", "setups", "state", "tenant",
+    )  # fmt: skip
 
     def __init__(
         self, name: str, profile: Profile, tenant: int, key: str, group: str, deadline: float, back: bool
@@ -78,6 +85,7 @@
         self.deadline, self.back = deadline, back
         self.state = State.HELD
         self.setups: list[Setup] = []
+        self.drawn: list[Server] = []  # its two candidates, while one of them is asked
         self.load = 0.0  # work a second, where it is told
 
     @property
@@ -104,7 +112,7 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at",
+        "active", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at",
         "listed", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
         "started", "strikes", "trying", "tunnels", "zone",
     )  # fmt: skip
@@ -125,7 +133,7 @@
         """A process that has just started is not what the one before it was."""
         self.busy: float | None = None  # of the latest report; None: unheard
         self.full_load = 0.0  # load over capacity of the latest report
-        self.heard_at = 0.0
+        self.heard_at = self.asked_at = -1e9  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
         self.shed_at = 0.0  # when tunnels were last moved off
         self.strikes = 0
@@ -173,7 +181,8 @@
         self.rate, self.came = 1.0, 0
         self.tick_at = now
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
-        self.held: dict[Tunnel, None] = {}
+        self.held: dict[Tunnel, None] = {}  # held or asking
+        self.purse = self.purse_top = ASK_SPEND * 4
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self.host.timer(self.pace)
 
@@ -221,9 +230,9 @@
     # Readiness.
 
     def _ready(self, ep: Server, now: float) -> bool:
-        return ep.out_until <= now and self._has_room(ep) and self._within_budget(ep, now)
+        return ep.out_until <= now and self._has_room(ep, now) and self._within_budget(ep, now)
 
-    def _has_room(self, ep: Server) -> bool:
+    def _has_room(self, ep: Server, now: float) -> bool:
         """Whether its reported load, with what all balancers are likely to have added since, is under FULL.
 
         Guards against balancers that fill the same server between two reports, and against overload:
@@ -231,6 +240,8 @@
         or was moved off since makes no room before a report shows it: a tunnel gone is less than the mean
         tunnel's load, as its group may stay, and one let in for each gone would keep the server full.
         """
+        if self._old(ep, now, KEPT) and self._may_ask():
+            return True  # it is asked before it is offered anything
         load = self.mean_load if ep.busy is None else ep.full_load
         # With no report at all there is no unit to count in either: then all have room.
         return load is None or load + self._added(ep) < self.full
@@ -260,7 +271,9 @@
             return fresh or ready
         # Guards against being left without servers because all look bad at once, and against a storm on
         # servers that are bad: each suspended server may have one setup out at a time.
-        return [ep for ep in able if not ep.trying and self._has_room(ep) and self._within_budget(ep, now)]
+        return [
+            ep for ep in able if not ep.trying and self._has_room(ep, now) and self._within_budget(ep, now)
+        ]
 
     @staticmethod
     def _may_go(tun: Tunnel, ep: Server, now: float) -> bool:
@@ -309,19 +322,53 @@
         pool = held or ready
         return self.choice([ep for ep in pool if ep.zone == self.zone] or pool)
 
-    def _offer(self, tun: Tunnel, ready: list[Server], now: float) -> Server:
-        """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must."""
-        drawn = self._draw(tun, ready)
-        if len(drawn) == 1:
-            return drawn[0]
+    def _offer(self, tun: Tunnel, now: float) -> None:
+        """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must.
+
+        A candidate whose report is old is asked first; one that has no room then is drawn anew.
+        """
+        first = tun.drawn[0]
         mean = self._mean_busy()
-        taken = self._busy(drawn[0], mean) < self.c
-        self.top = max(self.top, self._busy(drawn[0], mean), self._busy(drawn[1], mean))
-        self.offers += 1
-        self.accepted += taken
+        taken = False
+        for ep in tun.drawn:
+            if self._old(ep, now, FRESH) and (ep.probing or self._may_ask()):
+                self._ask_load(ep, now)
+                tun.to(State.ASKING)
+                self.held[tun] = None
+                return
+            self.top = max(self.top, self._busy(ep, mean))
+            taken = ep is first and self._busy(ep, mean) < self.c
+            if taken:
+                break
+        if len(tun.drawn) > 1:
+            self.offers += 1
+            self.accepted += taken
+        chosen = first if taken else tun.drawn[-1]
         if self.offers >= WINDOW:
             self._steer(now)
-        return drawn[0] if taken else drawn[1]
+        self._send(tun, chosen, now)
+
+    def _old(self, ep: Server, now: float, goals: float) -> bool:
+        # A probe may bring no report; then the server is asked again as if it had.
+        return self.may_probe and now - max(ep.heard_at, ep.asked_at) > goals * self.goal
+
+    def _may_ask(self) -> bool:
+        return self.purse >= self.probe_price
+
+    def _ask_load(self, ep: Server, now: float) -> None:
+        if not ep.probing:
+            self.purse -= self.probe_price
+            ep.probing = True
+            self.host.probe(ep)
+
+    def _told(self, ep: Server, now: float) -> None:
+        """An asked server has answered or failed: the tunnels that wait for it go on."""
+        for tun in [tun for tun in self.held if tun.state is State.ASKING and ep in tun.drawn]:
+            tun.to(State.HELD)
+            if all(drawn.active and self._ready(drawn, now) for drawn in tun.drawn):
+                self._offer(tun, now)
+            else:
+                self._place(tun, now)
 
     def _start_c(self) -> None:
         """c starts anew at the median of the first figures heard, which is half acceptance already.
@@ -351,6 +398,7 @@
 
     def arrived(self, tun: Tunnel, midflow: bool, now: float) -> None:
         self.came += 1
+        self.purse = min(self.purse + ASK_SPEND, self.purse_top)
         holder = self._holder(tun) if midflow else None
         if holder is not None:
             self._send(tun, holder, now)
@@ -377,7 +425,8 @@
             return
         ready = self._candidates(tun, now)
         if ready:
-            self._send(tun, self._offer(tun, ready, now), now)
+            tun.drawn = self._draw(tun, ready)
+            self._offer(tun, now)
         elif self._hopeful(tun, now):
             self.held[tun] = None
         else:
@@ -490,12 +539,13 @@
     # Reports.
 
     def probed(self, ep: Server, ending: Ending, report: Report, now: float) -> None:
-        ep.probing = False
+        ep.probing, ep.asked_at = False, now
         if ending == "ok" and report:
             self._heard(ep, report, now)
             self._shed(ep, now)
         elif ending in ("error", "timeout", "no-connection", "reset"):
             self._struck(ep, now)
+        self._told(ep, now)
 
     def _heard(self, ep: Server, report: Report, now: float) -> None:
         ep.heard_at = now
@@ -578,8 +628,8 @@
     def _probe(self, now: float) -> None:
         """Probes each server so often that all probes cost a set part of the credit asked for."""
         live = [ep for ep in self.servers.values() if ep.active]
-        every = len(live) * self.probe_price / (max(self.rate, 0.1) * PROBE_SPEND)
-        every = min(max(every, 2 * self.pace), WINDOW_TIME / 2)
+        every = len(live) * self.probe_price / (max(self.rate, 0.01) * PROBE_SPEND)
+        every = max(every, 2 * self.pace)
         for ep in live:
             news = self._added(ep) >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing:
@@ -591,4 +641,8 @@
 
     def _serve_held(self, now: float) -> None:
         for tun in list(self.held):
-            self._place(tun, now)
+            if tun.state is State.ASKING and now + 2 * self.pace >= tun.deadline:
+                tun.to(State.HELD)  # no time is left to wait for an answer
+                self._send(tun, tun.drawn[-1], now) if tun.drawn[-1].active else self._answer(tun, now)
+            elif tun.state is State.HELD:
+                self._place(tun, now)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,10 +11,12 @@
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
 def test_the_first_accepts_under_c_else_the_second_must(busy: float, c: float, takes: int) -> None:
-    bal, _, (first, second) = balancer([busy, busy])
-    bal.c = c
-    bal._draw = lambda tun, ready: [first, second]  # type: ignore[method-assign]
-    assert bal._offer(tunnel(bal), [first, second], 100.0) is (first, second)[takes]
+    bal, notes, (first, second) = balancer([busy, busy])
+    bal.c, first.heard_at, second.heard_at = c, 100.0, 100.0
+    tun = tunnel(bal)
+    tun.drawn = [first, second]
+    bal._offer(tun, 100.0)
+    assert notes.asked[0][2] is (first, second)[takes]
 
 
 @pytest.mark.parametrize(
@@ -71,6 +73,23 @@
     assert bal._busy(ep, 0.0) == pytest.approx(0.25)
 
 
+@pytest.mark.parametrize(("ages", "asked"), [((9, 9), 0), ((0, 9), 1), ((0, 0), None)])
+def test_a_candidate_with_an_old_report_is_asked_before_the_offer(ages: Any, asked: int | None) -> None:
+    # With few tunnels a balancer, probes by the clock can't keep the reports of a large fleet fresh.
+    bal, notes, servers = balancer([0.5, 0.5])
+    bal.c, tun = 0.2, tunnel(bal)
+    tun.drawn = servers
+    for ep, age in zip(servers, ages, strict=True):
+        ep.heard_at = ep.asked_at = 100.0 - age
+    bal._offer(tun, 100.0)
+    assert notes.words() == (["setup"] if asked is None else ["probe"])
+    if asked is not None:
+        assert notes.asked[0][1] is servers[asked] and tun.state is State.ASKING
+        for ep in servers:
+            bal.probed(ep, "ok", {"load": 0.5}, 100.1)
+        assert tun.state is State.SETTING_UP and tun.setups[0].ep is servers[1]
+
+
 @pytest.mark.parametrize(("loads", "asked"), [([], []), ([0.1], ["setup"])])
 def test_none_and_one_ready_server(loads: list[float | None], asked: list[str]) -> None:
     bal, notes, _ = balancer(loads)
@@ -119,7 +138,7 @@
     other.full_load = heard or 0.0
     bal._learn()
     bal._send(tunnel(bal), other, 100.0)
-    assert bal._has_room(ep) is room
+    assert bal._has_room(ep, 100.0) is room
 
 
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
@@ -250,8 +269,8 @@
     tun = tunnel(bal)
     bal.inherited(tun, ep, 99.0)
     ep.probe_due = other.probe_due = 200.0
-    bal.delay_noted(tun, delay, 100.0)
-    bal.tick(100.1)
+    bal.delay_noted(tun, delay, 100.5)
+    bal.tick(100.6)
     assert notes.words() == asked
 
 
