Groups have a home, the same at all balancers, where own tunnels can't tell where they are

Change: where the fleet is crowded (1.2 times the mean load over 0.5) or balancers outnumber servers, an unheld group's candidates are drawn from the first three ready servers in its own order; else from the own zone as before.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -15,6 +15,8 @@
 
 from collections.abc import Iterable
 from enum import Enum
+from hashlib import blake2b
+from heapq import nsmallest
 from random import Random
 
 from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
@@ -40,9 +42,16 @@
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
 OVER = 0.2  # load over that limit from which open tunnels are moved off, down to it
+HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
+MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
 
 
+def _mark(name: str) -> int:
+    """The same figure for a name at every balancer."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
 class State(Enum):
     """Where a tunnel stands."""
 
@@ -115,12 +124,12 @@
 
     __slots__ = (
         "active", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at",
-        "listed", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
+        "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
         "started", "strikes", "trying", "tunnels", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
-        self.name = name
+        self.name, self.mark = name, _mark(name)
         self.cell = self.zone = 0
         self.started = 0.0
         self.active = self.listed = False
@@ -314,20 +323,42 @@
         return sum(self._busy(ep, 0.0) for ep in heard) / len(heard) if heard else 0.0
 
     def _draw(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
-        """Two different ready servers at random: of those that hold the tunnel's group, if there are any, and
-        of those in the balancer's own zone, if there are any.
+        """Two different ready servers at random: of those that hold the tunnel's group, if there are any, of
+        these those in the own zone; else of the group's home or of the own zone.
 
         A server pays for a group once: scattering it would make load out of nothing. A crossing has a price.
         """
         if len(ready) < 2:
             return ready
-        first = self._pick(tun, ready)
-        return [first, self._pick(tun, [ep for ep in ready if ep is not first])]
-
-    def _pick(self, tun: Tunnel, ready: list[Server]) -> Server:
         held = [ep for ep in ready if tun.group in ep.groups] if tun.group else []
-        pool = held or ready
-        return self.choice([ep for ep in pool if ep.zone == self.zone] or pool)
+        near = [ep for ep in held or ready if ep.zone == self.zone]
+        last = self._home(tun, ready) if tun.group and self._gathers() else near
+        pools = [near, held, last] if held else [last]
+        first = self._pick(ready, pools, None)
+        return [first, self._pick(ready, pools, first)]
+
+    def _pick(self, ready: list[Server], pools: list[list[Server]], but: Server | None) -> Server:
+        for pool in (*pools, ready):
+            left = [ep for ep in pool if ep is not but]
+            if left:
+                return self.choice(left)
+        raise ValueError("two candidates need two ready servers")
+
+    def _gathers(self) -> bool:
+        """Whether groups are gathered rather than kept in the zone: where the fleet is crowded, or where the
+        balancers are more than the servers, so that own tunnels hardly tell where a group is.
+
+        Guards against groups that are scattered over a large fleet, above all after a mass arrival.
+        """
+        return self.balancers > len(self.live) or (self.mean_load or 0.0) * ABOVE > FULL_LEAST
+
+    @staticmethod
+    def _home(tun: Tunnel, ready: list[Server]) -> list[Server]:
+        """The first ready servers in an order of the group's own, the same at all balancers: a group comes
+        together though none of them sees the others' tunnels, and goes on to the next ones as these fill.
+        """
+        mark = _mark(tun.group)
+        return nsmallest(HOME, ready, key=lambda ep: (mark ^ ep.mark) * MIX & WORD)
 
     def _offer(self, tun: Tunnel, now: float) -> None:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,7 +6,7 @@
 from helpers import balancer, tunnel
 
 from pointgw.interface import Listed, Profile
-from pointgw.policy import FULL, OVER, Setup, State
+from pointgw.policy import FULL, HOME, OVER, Setup, State
 
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
@@ -61,6 +61,21 @@
         assert len(pair) == 2 and drawn <= pair
 
 
+@pytest.mark.parametrize(
+    ("balancers", "mean", "gathers"), [(200, 0.1, True), (2, 0.1, False), (2, 0.42, True), (2, None, False)]
+)
+def test_a_group_has_the_same_home_at_all_balancers(balancers: int, mean: float, gathers: bool) -> None:
+    # A group scattered over a large fleet is paid for at every server, and none sees the others' tunnels.
+    drawn = set()
+    for _ in range(20):
+        bal, _, servers = balancer([0.1] * 20, balancers=balancers)
+        bal.mean_load = mean
+        drawn |= {ep.name for ep in bal._draw(tunnel(bal, group="g"), servers[::-1])}
+        bal.zone = 1
+        drawn |= {ep.name for ep in bal._draw(tunnel(bal, group="g"), servers)}
+    assert (len(drawn) <= HOME) is gathers
+
+
 def test_own_placements_count_in_the_unit_of_the_figure_until_the_next_report() -> None:
     bal, _, (ep, other) = balancer([0.2, None])
     bal.unit = 0.03
