One walk a tunnel, held tunnels don't all look, rounds once a setup goal

Change: one walk over the active servers for a tunnel; where none is ready for a held tunnel the others without setups don't look in that turn; rates, c's windows and probes once a setup goal; the timer runs four times as often only while tunnels are held; means are taken once a round.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -43,6 +43,7 @@
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
 OVER = 0.2  # load over that limit from which open tunnels are moved off, down to it
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
+NEVER = 1e9  # seconds ago
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
 
@@ -125,7 +126,7 @@
     __slots__ = (
         "active", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at",
         "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
-        "started", "strikes", "trying", "tunnels", "zone",
+        "started", "strikes", "trying", "tunnels", "waiting", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -137,6 +138,7 @@
         self.groups: dict[str, int] = {}  # of those, how many of each group
         self.trying = 0  # own setups that are out
         self.probing = False
+        self.waiting: list[Tunnel] = []  # tunnels that wait for the answer to a probe
         self.probe_due = 0.0
         self.forget()
 
@@ -144,7 +146,7 @@
         """A process that has just started is not what the one before it was."""
         self.busy: float | None = None  # of the latest report; None: unheard
         self.full_load = 0.0  # load over capacity of the latest report
-        self.heard_at = self.asked_at = -1e9  # when a report, or the answer to a probe, came
+        self.heard_at = self.asked_at = -NEVER  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
         self.shed_at = 0.0  # when tunnels were last moved off
         self.strikes = 0
@@ -185,18 +187,20 @@
         self.load_unit = STEP  # what one tunnel adds to the load of a server
         self.full = FULL
         self.mean_load: float | None = None
+        self.mean_busy = 0.0
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
         self.open_time, self.ended_well = 4 * self.cold_time, 1
         self.cold_gain = 0.0  # own tunnels a second to a server that starts, were it warm
         # Own arrivals a second, smoothed.
         self.rate, self.came = 0.0, 0  # the rate starts with the first list
-        self.tick_at = now
+        self.round_at = self.round_due = now
+        self.tick_due = NEVER * 2
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}  # held or asking
         self.live: list[Server] = []  # those of `servers` that are active, by name
         self.purse = 0.0  # what probes may still cost, in credit
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
-        self.host.timer(self.pace)
+        self._wake(now, self.pace)
 
     # The server list.
 
@@ -245,10 +249,14 @@
 
     # Readiness.
 
-    def _ready(self, ep: Server, now: float) -> bool:
-        return ep.out_until <= now and self._has_room(ep, now) and self._within_budget(ep, now)
+    def _ready(self, ep: Server, now: float, again: float) -> bool:
+        return ep.out_until <= now and self._has_room(ep, again) and self._within_budget(ep, now)
 
-    def _has_room(self, ep: Server, now: float) -> bool:
+    def _again(self, now: float) -> float:
+        """A server not heard from since this refuses nobody: it is asked again before an offer."""
+        return now - KEPT * self.goal if self._may_ask() else -NEVER
+
+    def _has_room(self, ep: Server, again: float) -> bool:
         """Whether its reported load, with what all balancers are likely to have added since, is under FULL.
 
         Guards against balancers that fill the same server between two reports, and against overload:
@@ -256,8 +264,8 @@
         or was moved off since makes no room before a report shows it: a tunnel gone is less than the mean
         tunnel's load, as its group may stay, and one let in for each gone would keep the server full.
         """
-        if self._old(ep, now, KEPT) and self._may_ask():
-            return True  # it is asked before it is offered anything
+        if ep.asked_at < again:
+            return True
         load = self.mean_load if ep.busy is None else ep.full_load
         # With no report at all there is no unit to count in either: then all have room.
         return load is None or load + self._added(ep) < self.full
@@ -279,18 +287,28 @@
 
     def _candidates(self, tun: Tunnel, now: float) -> list[Server]:
         """The ready servers that this tunnel may go to."""
-        able = [ep for ep in self.servers.values() if ep.active and self._may_go(tun, ep, now)]
-        ready = [ep for ep in able if self._ready(ep, now)]
-        tried = [s.ep for s in tun.setups]
-        fresh = [ep for ep in ready if ep not in tried]
-        if fresh or ready:
-            return fresh or ready
+        able = self.live if self._free(tun) else [ep for ep in self.live if self._may_go(tun, ep, now)]
+        again = self._again(now)
+        ready = [ep for ep in able if self._ready(ep, now, again)]
+        if ready and tun.setups:
+            tried = [s.ep for s in tun.setups]
+            ready = [ep for ep in ready if ep not in tried] or ready
         # Guards against being left without servers because all look bad at once, and against a storm on
         # servers that are bad: each suspended server may have one setup out at a time.
-        return [
-            ep for ep in able if not ep.trying and self._has_room(ep, now) and self._within_budget(ep, now)
+        return ready or [
+            ep
+            for ep in able
+            if ep.out_until > now
+            and not ep.trying
+            and self._has_room(ep, again)
+            and self._within_budget(ep, now)
         ]
 
+    @staticmethod
+    def _free(tun: Tunnel) -> bool:
+        """Rule 2: another setup has no second effect, wherever it goes."""
+        return tun.profile.semantics == "repeatable" or not any(s.may_have_run for s in tun.setups)
+
     @staticmethod
     def _may_go(tun: Tunnel, ep: Server, now: float) -> bool:
         """Rule 2: where another setup has no second effect."""
@@ -306,9 +324,7 @@
     @staticmethod
     def _may_decline(tun: Tunnel) -> bool:
         """Rule 2: a decline says that another try is harmless."""
-        if tun.profile.semantics == "repeatable" or not any(s.may_have_run for s in tun.setups):
-            return True
-        return tun.profile.semantics == "referenced" and tun.profile.group == "all"
+        return Balancer._free(tun) or (tun.profile.semantics == "referenced" and tun.profile.group == "all")
 
     # The ordinary path.
 
@@ -316,11 +332,7 @@
         return (mean if ep.busy is None else ep.busy) + len(ep.recent) * self.unit
 
     def _heard_of(self) -> list[Server]:
-        return [ep for ep in self.servers.values() if ep.active and ep.busy is not None]
-
-    def _mean_busy(self) -> float:
-        heard = self._heard_of()
-        return sum(self._busy(ep, 0.0) for ep in heard) / len(heard) if heard else 0.0
+        return [ep for ep in self.live if ep.busy is not None]
 
     def _draw(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
         """Two different ready servers at random: of those that hold the tunnel's group, if there are any, of
@@ -365,14 +377,14 @@
 
         A candidate whose report is old is asked first; one that has no room then is drawn anew.
         """
-        first = tun.drawn[0]
-        mean = self._mean_busy()
+        first, mean = tun.drawn[0], self.mean_busy
         taken = False
         for ep in tun.drawn:
-            if self._old(ep, now, FRESH) and (ep.probing or self._may_ask()):
+            if now - ep.asked_at > FRESH * self.goal and (ep.probing or self._may_ask()):
                 self._ask_load(ep)
+                ep.waiting.append(tun)
                 tun.to(State.ASKING)
-                self.held[tun] = None
+                self._hold(tun, now)
                 return
             self.top = max(self.top, self._busy(ep, mean))
             taken = ep is first and self._busy(ep, mean) < self.c
@@ -386,10 +398,6 @@
             self._steer(now)
         self._send(tun, chosen, now)
 
-    def _old(self, ep: Server, now: float, goals: float) -> bool:
-        # A probe may bring no report; then the server is asked again as if it had.
-        return self.may_probe and now - max(ep.heard_at, ep.asked_at) > goals * self.goal
-
     def _earn(self, spend: float) -> None:
         """Probes are paid from the credit of own tunnels; at most two rounds of all servers are saved up.
 
@@ -409,9 +417,13 @@
 
     def _told(self, ep: Server, now: float) -> None:
         """An asked server has answered or failed: the tunnels that wait for it go on."""
-        for tun in [tun for tun in self.held if tun.state is State.ASKING and ep in tun.drawn]:
+        waiting, ep.waiting = ep.waiting, []
+        for tun in waiting:
+            if tun.state is not State.ASKING:
+                continue
             tun.to(State.HELD)
-            if all(drawn.active and self._ready(drawn, now) for drawn in tun.drawn):
+            again = self._again(now)
+            if all(drawn.active and self._ready(drawn, now, again) for drawn in tun.drawn):
                 self._offer(tun, now)
             else:
                 self._place(tun, now)
@@ -421,8 +433,8 @@
 
         Guards against a c that stays far from the figures all day, where each offer is plain chance.
         """
-        heard = sorted(ep.busy for ep in self.servers.values() if ep.active and ep.busy is not None)
-        if 2 * len(heard) > sum(ep.active for ep in self.servers.values()):
+        heard = sorted(ep.busy for ep in self.live if ep.busy is not None)
+        if 2 * len(heard) > len(self.live):
             self.c, self.c_started = heard[len(heard) // 2], True
 
     def _steer(self, now: float) -> None:
@@ -453,8 +465,8 @@
 
     def _holder(self, tun: Tunnel) -> Server | None:
         """The server that has a mid-flow tunnel, as far as this balancer has seen it."""
-        for ep in self.servers.values():
-            if ep.active and tun.key and any(t.key == tun.key for t in ep.tunnels):
+        for ep in self.live:
+            if tun.key and any(t.key == tun.key for t in ep.tunnels):
                 return ep
         return None
 
@@ -474,14 +486,17 @@
             tun.drawn = self._draw(tun, ready)
             self._offer(tun, now)
         elif self._hopeful(tun, now):
-            self.held[tun] = None
+            self._hold(tun, now)
         else:
             self._answer(tun, now)
 
+    def _hold(self, tun: Tunnel, now: float) -> None:
+        self.held[tun] = None
+        self._wake(now, self.pace)
+
     def _hopeful(self, tun: Tunnel, now: float) -> bool:
         """Waiting may help: a list, a report or a cold budget may come; a declined client is long away."""
-        able = [ep for ep in self.servers.values() if ep.active]
-        if any(not self._may_go(tun, ep, now) for ep in able):
+        if not self._free(tun) and not all(self._may_go(tun, ep, now) for ep in self.live):
             return False
         waited = now - (tun.deadline - tun.profile.client_timeout)
         return waited < WAIT * tun.profile.client_timeout and now + self.pace < tun.deadline
@@ -594,7 +609,7 @@
         self._told(ep, now)
 
     def _heard(self, ep: Server, report: Report, now: float) -> None:
-        ep.heard_at = now
+        ep.heard_at = ep.asked_at = now
         ep.full_load = report.get("load", 0.0)
         for word in ("connections", "load", "backlog"):
             if word in report:
@@ -631,9 +646,24 @@
 
     # By the clock.
 
+    def _wake(self, now: float, delay: float) -> None:
+        if now + delay < self.tick_due - 1e-6:
+            self.tick_due = now + delay
+            self.host.timer(delay)
+
     def tick(self, now: float) -> None:
-        self.host.timer(self.pace)
-        span, self.tick_at = now - self.tick_at, now
+        if now < self.tick_due - 1e-3:
+            return  # a timer that an earlier one has overtaken
+        self.tick_due = NEVER * 2
+        if now >= self.round_due:
+            self._round(now)
+        self._serve_held(now)
+        self._wake(now, self.pace if self.held else max(self.round_due - now, self.pace))
+
+    def _round(self, now: float) -> None:
+        """What is done once a setup goal, with or without tunnels."""
+        span, self.round_at = now - self.round_at, now
+        self.round_due = now + self.goal
         weight = min(1.0, span / LONG)
         self.rate += (self.came - self.rate * span) * weight / max(span, 1e-6)
         self.came = 0
@@ -647,19 +677,19 @@
                 self.window_at = now
         if now - self.top_at >= LONG:
             self.top_before, self.top, self.top_at = self.top, 0.0, now
-        self._learn()
+        self._learn(span)
         if self.may_probe:
             self._probe(now)
-        self._serve_held(now)
 
-    def _learn(self) -> None:
+    def _learn(self, span: float) -> None:
         """What the limit is, what one tunnel adds to a load, and what a cold server may get."""
         heard = self._heard_of()
         if heard:
             self.mean_load = sum(ep.full_load for ep in heard) / len(heard)
+            self.mean_busy = sum(self._busy(ep, 0.0) for ep in heard) / len(heard)
             self.full = min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
         count = sum(len(ep.tunnels) for ep in heard)
-        self.open_time += count * self.pace
+        self.open_time += count * span
         if count >= 2 * len(heard) > 0:
             # Never nought, also where the servers report no load at all.
             total = sum(ep.full_load for ep in heard)
@@ -676,7 +706,7 @@
         live = self.live
         every = len(live) * self.probe_price / (max(self.rate, 0.01) * PROBE_SPEND)
         every = max(every, 2 * self.pace)
-        for ep in self._round():
+        for ep in self._by_chance():
             news = self._added(ep) >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing and self._may_ask(ASKED):
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
@@ -684,15 +714,17 @@
                 ep.probe_due = now + wait * self.uniform(0.8, 1.2)
                 self._ask_load(ep)
 
-    def _round(self) -> list[Server]:
+    def _by_chance(self) -> list[Server]:
         """The active servers from a start by chance: where not all can be probed, balancers probe others."""
         start = int(self.chance() * len(self.live))
         return self.live[start:] + self.live[:start]
 
     def _serve_held(self, now: float) -> None:
+        none_ready = False  # for tunnels that may go anywhere: then they need not all look
         for tun in list(self.held):
             if tun.state is State.ASKING and now + 2 * self.pace >= tun.deadline:
                 tun.to(State.HELD)  # no time is left to wait for an answer
                 self._send(tun, tun.drawn[-1], now) if tun.drawn[-1].active else self._answer(tun, now)
-            elif tun.state is State.HELD:
+            elif tun.state is State.HELD and not (none_ready and not tun.setups and self._hopeful(tun, now)):
                 self._place(tun, now)
+                none_ready |= tun.state is State.HELD
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -75,7 +75,9 @@
     bal.listed(lines, True, False, 100.0)
     servers = list(bal.servers.values())
     for ep, load in zip(servers, loads, strict=True):
-        ep.busy, ep.heard_at = load, 100.0
+        ep.busy = load
+        if load is not None:
+            ep.heard_at = ep.asked_at = 100.0
     notes.asked.clear()
     return bal, notes, servers
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,13 +6,13 @@
 from helpers import balancer, tunnel
 
 from pointgw.interface import Listed, Profile
-from pointgw.policy import FULL, HOME, OVER, Setup, State
+from pointgw.policy import FULL, HOME, NEVER, OVER, Setup, State
 
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
 def test_the_first_accepts_under_c_else_the_second_must(busy: float, c: float, takes: int) -> None:
     bal, notes, (first, second) = balancer([busy, busy])
-    bal.c, first.heard_at, second.heard_at = c, 100.0, 100.0
+    bal.c = c
     tun = tunnel(bal)
     tun.drawn = [first, second]
     bal._offer(tun, 100.0)
@@ -81,7 +81,8 @@
     bal.unit = 0.03
     bal._send(tunnel(bal), ep, 100.0)
     assert bal._busy(ep, 0.0) == pytest.approx(0.23)
-    assert bal._busy(other, bal._mean_busy()) == pytest.approx(0.23)
+    bal._learn(0.1)
+    assert bal._busy(other, bal.mean_busy) == pytest.approx(0.23)
     bal.probed(ep, "ok", {"load": 0.25}, 100.9)  # too early to show it
     assert bal._busy(ep, 0.0) == pytest.approx(0.28)
     bal.probed(ep, "ok", {"load": 0.25}, 101.0)
@@ -109,7 +110,7 @@
 def test_many_balancers_do_not_all_probe_the_whole_fleet(balancers: int, probes: int) -> None:
     # With 200 balancers at 50 servers probes cost 0.6 of all credit.
     bal, notes, _ = balancer([None] * 20, balancers=balancers)
-    bal.tick(100.1)
+    bal.tick(100.2)
     assert notes.words() == ["probe"] * probes
 
 
@@ -152,25 +153,25 @@
     tun = tunnel(bal)
     bal.inherited(tun, ep, 99.0)
     bal.ended(tun, 0, "ok", True, {}, 100.0)
-    assert not bal._ready(ep, 100.0)
+    assert not bal._ready(ep, 100.0, 0.0)
 
 
 @pytest.mark.parametrize(("heard", "room"), [(None, True), (0.3, True), (0.9, False)])
 def test_an_unheard_server_has_room_as_the_others_have(heard: float | None, room: bool) -> None:
     bal, _, (ep, other) = balancer([None, heard], balancers=17)
     other.full_load = heard or 0.0
-    bal._learn()
+    bal._learn(0.1)
     bal._send(tunnel(bal), other, 100.0)
-    assert bal._has_room(ep, 100.0) is room
+    assert bal._has_room(ep, -NEVER) is room
 
 
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
     bal, _, (ep, _) = balancer([0.5, 0.5], balancers=4)
     ep.full_load, bal.load_unit = FULL - 0.35, 0.06
     bal._send(tunnel(bal), ep, 100.0)
-    assert bal._ready(ep, 100.0)
+    assert bal._ready(ep, 100.0, 0.0)
     bal._send(tunnel(bal), ep, 100.0)
-    assert not bal._ready(ep, 100.0)
+    assert not bal._ready(ep, 100.0, 0.0)
 
 
 def test_a_held_tunnel_is_answered_before_the_client_timeout() -> None:
@@ -253,7 +254,7 @@
 def test_a_cold_server_is_ready_within_its_budget(budget: float, age: float, ready: bool) -> None:
     bal, _, (ep, _) = balancer([0.1, 0.1])
     ep.started, ep.budget, ep.budget_at = 100.0 - age, budget, 100.0
-    assert bal._ready(ep, 100.0) is ready
+    assert bal._ready(ep, 100.0, 0.0) is ready
 
 
 @pytest.mark.parametrize("load", [0.0, 0.5])
@@ -263,10 +264,10 @@
         ep.full_load = load
         for _ in range(3):
             bal.inherited(tunnel(bal), ep, 99.0)
-    bal._learn()
+    bal._learn(0.1)
     before = bal.cold_gain
     bal.came, bal.rate = 500, 500.0  # a storm of clients that come again
-    bal._learn()
+    bal._learn(0.1)
     assert 0.0 < bal.cold_gain <= before
 
 
@@ -274,7 +275,7 @@
     bal, _, (ep, _) = balancer([0.1, 0.1])
     ep.started, ep.budget, ep.budget_at = 99.0, 1.5, 100.0
     bal._send(tunnel(bal), ep, 100.0)
-    assert not bal._ready(ep, 100.0)
+    assert not bal._ready(ep, 100.0, 0.0)
 
 
 def test_a_quick_error_takes_a_server_out_of_the_draw_for_a_while() -> None:
