The habit: every n-th server, where own tunnels can't pay for asking their candidates

The users' habit is kept for balancers that can't use all servers: where two probes a tunnel cost more than probes may (0.017 of the credit) and probes by the clock can't keep all reports under 30 s, a balancer takes every n-th of the list sorted by mark, from a start of its own; n leaves eight servers to a part and eight balancers to each. Both candidates stay a random draw among the ready ones of the part; with none ready the others serve. Tests: no server without balancers, none with 1.6 times its part.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -31,6 +31,7 @@
 ASK_SPEND = 0.012  # of the credit asked for: what asking candidates before an offer may cost
 FRESH = 4  # setup goals for which a report is taken as it is, before a candidate is asked again
 ASKED = 4  # probes that are kept for the candidates of the next tunnel
+PART_LEAST = 8  # servers in a part of the list, and balancers to one, at least
 START_RATE = 0.5  # tunnels a second to a server, until the own arrivals tell
 KEPT = 10  # setup goals for which a report tells who has room, where the server may be asked again
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
@@ -197,6 +198,9 @@
         self.tick_due = NEVER * 2
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}  # held or asking
+        # Those of `live` that this balancer uses, where it can't use all; its start among every n-th.
+        self.part: list[Server] | None = None
+        self.start = self.chance()
         self.live: list[Server] = []  # those of `servers` that are active, by name
         self.purse = 0.0  # what probes may still cost, in credit
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
@@ -228,7 +232,10 @@
         if whole:
             for ep in self.servers.values():
                 ep.active = ep.active and ep.listed
-        self.live = [ep for name, ep in sorted(self.servers.items()) if ep.active]
+        self.live = sorted(
+            (ep for ep in self.servers.values() if ep.active), key=lambda ep: (ep.mark, ep.name)
+        )
+        self.part = None
         if not self.rate:
             self.rate = START_RATE * max(1, len(self.live)) / self.balancers
             self._earn(PROBE_SPEND * self.rate * LONG)
@@ -295,12 +302,16 @@
 
     def _candidates(self, tun: Tunnel, now: float) -> list[Server]:
         """The ready servers that this tunnel may go to."""
-        able = self.live if self._free(tun) else [ep for ep in self.live if self._may_go(tun, ep, now)]
+        pool = self.part or self.live
+        able = pool if self._free(tun) else [ep for ep in pool if self._may_go(tun, ep, now)]
         again = self._again(now)
         ready = [ep for ep in able if self._ready(ep, now, again)]
         if ready and tun.setups:
             tried = [s.ep for s in tun.setups]
             ready = [ep for ep in ready if ep not in tried] or ready
+        if not ready and pool is not self.live:
+            self.part = None  # the others serve until the next round
+            return self._candidates(tun, now)
         # Guards against being left without servers because all look bad at once, and against a storm on
         # servers that are bad: each suspended server may have one setup out at a time.
         return ready or [
@@ -714,6 +725,8 @@
         live = self.live
         every = len(live) * self.probe_price / (max(self.rate, 0.01) * PROBE_SPEND)
         every = max(every, 2 * self.pace)
+        self._take_part(every)
+        every = every * len(self.part or live) / max(1, len(live))
         for ep in self._by_chance():
             news = self._added(ep) >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing and self._may_ask(ASKED):
@@ -722,10 +735,23 @@
                 ep.probe_due = now + wait * self.uniform(0.8, 1.2)
                 self._ask_load(ep)
 
+    def _take_part(self, every: float) -> None:
+        """Where own tunnels can't pay for asking their two candidates, and probes by the clock can't keep the
+        reports of all servers, a balancer takes every n-th of the sorted list from a start of its own.
+
+        Sorted by mark, so that no stride falls in step with zones or kinds. As many balancers as leave no
+        server without one share a part. Elsewhere any server can be used, as it is asked when it is drawn.
+        """
+        n = 1
+        if self.may_probe and 2 * self.probe_price > PROBE_SPEND + ASK_SPEND:
+            n = min(int(every / LONG), len(self.live) // PART_LEAST, self.balancers // PART_LEAST)
+        self.part = self.live[int(self.start * n) :: n] if n > 1 else None
+
     def _by_chance(self) -> list[Server]:
         """The active servers from a start by chance: where not all can be probed, balancers probe others."""
-        start = int(self.chance() * len(self.live))
-        return self.live[start:] + self.live[:start]
+        live = self.part or self.live
+        start = int(self.chance() * len(live))
+        return live[start:] + live[:start]
 
     def _serve_held(self, now: float) -> None:
         none_ready = False  # for tunnels that may go anywhere: then they need not all look
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -77,6 +77,34 @@
     assert (len(drawn) <= HOME) is gathers
 
 
+@pytest.mark.parametrize(
+    ("price", "balancers", "servers", "parts"), [(0.005, 200, 48, 1), (0.01, 200, 48, 6), (0.01, 200, 9, 1)]
+)
+def test_every_nth_server_from_starts_of_their_own(
+    price: float, balancers: int, servers: int, parts: int
+) -> None:
+    # No server may be left without balancers, and none may have far more than its part of them.
+    users = dict.fromkeys((f"s{i}" for i in range(servers)), 0)
+    for seed in range(balancers):
+        bal, _, eps = balancer([0.1] * servers, balancers=balancers, probe_price=price)
+        bal.start = Random(seed).random()
+        bal._take_part(1000.0)
+        for ep in bal.part or bal.live:
+            users[ep.name] += 1
+        bal.listed([Listed("t", "active", 0, 0, 0, 0.0, 1.0)], False, False, 101.0)
+        bal.listed([Listed(eps[0].name, "left", 0, 0, 0, 0.0, 1.0)], False, False, 101.0)
+        assert eps[0] not in bal._candidates(tunnel(bal), 101.0)
+    assert min(users.values()) > 0.5 * balancers / parts and max(users.values()) < 1.6 * balancers / parts
+
+
+def test_a_part_with_no_ready_server_lets_the_others_serve() -> None:
+    bal, _, servers = balancer([0.1] * 4)
+    bal.part = servers[:2]
+    for ep in servers[:2]:
+        bal._struck(ep, 100.0)
+    assert bal._candidates(tunnel(bal), 100.1) == [ep for ep in bal.live if ep in servers[2:]]
+
+
 def test_own_placements_count_in_the_unit_of_the_figure_until_the_next_report() -> None:
     bal, _, (ep, other) = balancer([0.2, None])
     bal.unit = 0.03
