Missing settings are taken as what binds most; bad input is lived with

Cause: an absent rules or profiles key ended the adapter; a balancer count of nought divided by nought. Each has a test, with a report without the field, an empty list and a message from a balancer that is not known. No decision changes where the settings are whole.

--- a/pointgw/drill/codec.py
+++ b/pointgw/drill/codec.py
@@ -141,25 +141,28 @@
 
 
 def site(settings: Fields) -> Site:
-    """The settings of one balancer. Keys not known here are skipped; null is an absent value."""
+    """The settings of one balancer. Keys not known here are skipped; null is an absent value.
+
+    What is absent is taken as what binds most: once-only tunnels, a list that must be asked, slow starts.
+    """
     conf = {name: value for name, value in settings.items() if value != "null"}
     profiles = tuple(
         Profile(
-            semantics=choice(conf, f"profiles.{i}.semantics", SEMANTICS),
-            group=choice(conf, f"profiles.{i}.group", GROUPS, GROUPS["all"]),
+            semantics=choice(conf, f"profiles.{i}.semantics", SEMANTICS, SEMANTICS["side_effect"]),
+            group=choice(conf, f"profiles.{i}.group", GROUPS, GROUPS["cell"]),
             window=seconds(conf, f"profiles.{i}.dedupWindow", 0.0),
-            setup_goal=seconds(conf, f"profiles.{i}.setupGoal"),
-            client_timeout=seconds(conf, f"profiles.{i}.clientTimeout"),
+            setup_goal=seconds(conf, f"profiles.{i}.setupGoal", 0.5),
+            client_timeout=seconds(conf, f"profiles.{i}.clientTimeout", 3.0),
             credit=number(conf, f"profiles.{i}.credit", 1.0),
         )
-        for i in range(whole(conf, "profiles.count"))
+        for i in range(max(1, whole(conf, "profiles.count", 1)))
     )
     advice = flag(conf, "limits.retryAfter", False)
     return Site(
-        balancers=max(1, whole(conf, "instances")),
+        balancers=max(1, whole(conf, "instances", 1)),
         zone=whole(conf, "zone", 0),
         profiles=profiles,
-        asks=choice(conf, "membershipMode", MODES),
+        asks=choice(conf, "membershipMode", MODES, MODES["subscribe"]),
         ask_every=seconds(conf, "rules.askEvery", 10.0),
         fields=tuple(REPORT_WORDS.get(name, name) for name in _list(conf, "report.fields", str)),
         max_setups=whole(conf, "limits.maxSetups", 1),
@@ -167,9 +170,9 @@
         may_call_off=flag(conf, "limits.mayCancel", False),
         come_back=seconds(conf, "limits.maxRetryAfter", 0.0) if advice else 0.0,
         grain=seconds(conf, "quantum", 0.0),
-        cold_share=number(conf, "rules.coldFrom"),
-        cold_time=seconds(conf, "rules.cold"),
-        tip_multiple=number(conf, "rules.tipMultiple"),
-        tip_span=seconds(conf, "rules.fall"),
+        cold_share=number(conf, "rules.coldFrom", 0.1),
+        cold_time=seconds(conf, "rules.cold", 30.0),
+        tip_multiple=number(conf, "rules.tipMultiple", 1.0),
+        tip_span=seconds(conf, "rules.fall", 1.0),
         probe_price=number(conf, "prices.probe", 0.0),
     )
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -163,11 +163,11 @@
         self.uniform, self.choice, self.chance = rng.uniform, rng.choice, rng.random
         self.servers: dict[str, Server] = {}
         self.profiles = site.profiles
-        self.balancers, self.zone = site.balancers, site.zone
+        self.balancers, self.zone = max(1, site.balancers), site.zone
         self.max_setups = max(1, site.max_setups)
         self.may_call_off, self.come_back = site.may_call_off, site.come_back
         # The shortest setup goal sets the pace of what is done by the clock.
-        self.goal = min(p.setup_goal for p in site.profiles)
+        self.goal = max(0.01, min(p.setup_goal for p in site.profiles))
         self.pace = max(site.grain, self.goal / 4)
         self.margin = max(2 * site.grain, 0.01 * self.goal)  # to answer before the client gives up
         # Rule 4: what all balancers may send a cold server at the start, as a multiple of its warm rate.
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -45,6 +45,34 @@
     assert out.count("TIMER") == 1
 
 
+@pytest.mark.parametrize(
+    "extra",
+    [
+        "DATAGRAM\toriginPeer=700\tbytes=00ff",
+        "DATAGRAM\toriginPeer=1\tbytes=-",
+        "PROBED\tserver=10.0.0.1:7001\tending=GOOD\ttelemetry=novel:1,q:3",
+        "CATALOG\ttable=1\tentries=0\nANNOUNCE\ttable=1\tform=full\tstamp=2",
+    ],
+)
+@pytest.mark.parametrize(
+    "conf", [CONF, "CONFIGURE\trandomSeed=7", "CONFIGURE\trandomSeed=7\tinstances=0\tx=y"]
+)
+def test_missing_settings_reports_and_lists_are_lived_with(conf: str, extra: str) -> None:
+    lines = [
+        *START[:2],
+        conf,
+        *START[3:],
+        "JOB_IN\txid=t/a\texpiresIn=500.0",
+        *extra.split("\n"),
+        "OVER_TO_YOU",
+    ]
+    for turn in range(2, 30):
+        lines += [f"TURN\tturn={turn}\ttime={1000.0 + 100 * turn}", "INSTANCE\tbalancerId=3"]
+        lines += ["TICK_DUE\tcookie=0", "OVER_TO_YOU"]
+    status, out, err = run(lines)
+    assert (status, err) == (0, "") and "PANIC" not in out
+
+
 @pytest.mark.parametrize(
     ("line", "says"),
     [
