--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -126,8 +126,8 @@
 
     __slots__ = (
         "active", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at",
-        "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "shed_at",
-        "started", "strikes", "trying", "tunnels", "waiting", "zone",
+        "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "reckoned", "shed_at",
+        "started", "strikes", "trying", "tunnels", "waiting", "warm_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -150,6 +150,8 @@
         self.heard_at = self.asked_at = -NEVER  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
         self.shed_at = 0.0  # when tunnels were last moved off
+        self.reckoned = -NEVER  # load that tells whether it has room
+        self.warm_at = 0.0  # when a process that started lately has its full capacity at the latest
         self.strikes = 0
         self.out_until = 0.0  # not ready before this
         self.budget, self.budget_at = 0.0, 0.0  # tunnels that may be sent while it is cold
@@ -225,9 +227,11 @@
             if line.started != ep.started:
                 ep.started = line.started
                 ep.forget()
+                ep.warm_at = line.started + self.cold_time if line.started else 0.0
                 # The balancers must not all spend a first tunnel at the same moment.
                 ep.budget, ep.budget_at = self.uniform(0.0, 1.0), now
                 ep.probe_due = now
+                self._reckon(ep)
             ep.active, ep.listed = line.state == "active", True
         if whole:
             for ep in self.servers.values():
@@ -256,26 +260,33 @@
 
     # Readiness.
 
-    def _ready(self, ep: Server, now: float, again: float) -> bool:
-        return ep.out_until <= now and self._has_room(ep, again) and self._within_budget(ep, now)
+    def _ready(self, eps: list[Server], now: float) -> list[Server]:
+        """Those that are ready: not suspended, with room, and within the budget of a cold one."""
+        again, full = self._again(now), self.full
+        return [
+            ep
+            for ep in eps
+            if ep.out_until <= now
+            and (ep.reckoned < full or ep.asked_at < again)
+            and (ep.warm_at <= now or self._within_budget(ep, now))
+        ]
 
     def _again(self, now: float) -> float:
         """A server not heard from since this refuses nobody: it is asked again before an offer."""
         return now - KEPT * self.goal if self._may_ask() else -NEVER
 
-    def _has_room(self, ep: Server, again: float) -> bool:
-        """Whether its reported load, with what all balancers are likely to have added since, is under FULL.
+    def _reckon(self, ep: Server) -> None:
+        """The load that tells whether a server has room: the reported one, with what all balancers are likely
+        to have added since. It has room under FULL.
 
         Guards against balancers that fill the same server between two reports, and against overload:
         an overdriven server serves nobody and drops what it holds, which comes again at once. What ended
         or was moved off since makes no room before a report shows it: a tunnel gone is less than the mean
         tunnel's load, as its group may stay, and one let in for each gone would keep the server full.
         """
-        if ep.asked_at < again:
-            return True
         load = self.mean_load if ep.busy is None else ep.full_load
         # With no report at all there is no unit to count in either: then all have room.
-        return load is None or load + self._added(ep) < self.full
+        ep.reckoned = -NEVER if load is None else load + self._added(ep)
 
     def _added(self, ep: Server) -> float:
         """Load that all balancers are likely to have added since, each as this one did."""
@@ -287,9 +298,9 @@
         A share that takes long to hold a whole tunnel lapses once it has held one for the tip span. Guards
         against many balancers that have all kept a tunnel and send it at the same moment.
         """
-        age = now - ep.started
-        if not ep.started or age >= self.cold_time:
+        if ep.warm_at <= now:
             return True
+        age = now - ep.started
         share = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.cold_time
         gain = self.cold_gain * share
         ep.budget, ep.budget_at = ep.budget + gain * (now - ep.budget_at), now
@@ -304,8 +315,7 @@
         """The ready servers that this tunnel may go to."""
         pool = self.part or self.live
         able = pool if self._free(tun) else [ep for ep in pool if self._may_go(tun, ep, now)]
-        again = self._again(now)
-        ready = [ep for ep in able if self._ready(ep, now, again)]
+        ready = self._ready(able, now)
         if ready and tun.setups:
             tried = [s.ep for s in tun.setups]
             ready = [ep for ep in ready if ep not in tried] or ready
@@ -314,14 +324,17 @@
             return self._candidates(tun, now)
         # Guards against being left without servers because all look bad at once, and against a storm on
         # servers that are bad: each suspended server may have one setup out at a time.
-        return ready or [
-            ep
-            for ep in able
-            if ep.out_until > now
-            and not ep.trying
-            and self._has_room(ep, again)
-            and self._within_budget(ep, now)
-        ]
+        if not ready:
+            again = self._again(now)
+            ready = [
+                ep
+                for ep in able
+                if ep.out_until > now
+                and not ep.trying
+                and (ep.reckoned < self.full or ep.asked_at < again)
+                and self._within_budget(ep, now)
+            ]
+        return ready
 
     @staticmethod
     def _free(tun: Tunnel) -> bool:
@@ -441,8 +454,7 @@
             if tun.state is not State.ASKING:
                 continue
             tun.to(State.HELD)
-            again = self._again(now)
-            if all(drawn.active and self._ready(drawn, now, again) for drawn in tun.drawn):
+            if len(self._ready([drawn for drawn in tun.drawn if drawn.active], now)) == len(tun.drawn):
                 self._offer(tun, now)
             else:
                 self._place(tun, now)
@@ -526,7 +538,8 @@
         tun.to(State.SETTING_UP)
         ep.recent.append(now)
         ep.trying += 1
-        if ep.started and now - ep.started < self.cold_time:
+        self._reckon(ep)
+        if ep.warm_at > now:
             ep.budget -= 1.0
         self.host.setup(tun, ep, min(tun.profile.setup_goal, tun.deadline - now))
 
@@ -569,6 +582,7 @@
         elif not was_open:
             if not setup.may_have_run and setup.sent_at in setup.ep.recent:
                 setup.ep.recent.remove(setup.sent_at)
+                self._reckon(setup.ep)
             tun.to(State.HELD)
             # Guards against a storm of our own making: where little is opened, little is tried again.
             if self.retries >= 1.0:
@@ -636,6 +650,7 @@
                 break
         # Guards against reports that are late: what was placed just before is not in them yet.
         ep.recent = [at for at in ep.recent if at > now - LATE * self.goal]
+        self._reckon(ep)
         if not self.c_started:
             self._start_c()
 
@@ -715,6 +730,8 @@
             self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
             if self.fraction:
                 self.unit = self.load_unit
+        for ep in self.live:
+            self._reckon(ep)
         # Rule 4. A warm server can take as many tunnels a second as fill it in one life. This follows what
         # lasts, not what arrives, and so guards against a storm of clients that come again raising it.
         warm = self.ended_well / (self.load_unit * self.open_time)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -84,3 +84,9 @@
 
 def tunnel(bal: Balancer, left: float = 3.0, tenant: int = 0, group: str = "") -> Tunnel:
     return bal.tunnel("t", 0, tenant, "k", group, 100.0 + left, False)
+
+
+def cold(bal: Balancer, ep: Server, started: float, budget: float) -> None:
+    """A server that started lately, with what is left at time 100 of the balancer's budget for it."""
+    ep.started, ep.warm_at = started, started + bal.cold_time
+    ep.budget, ep.budget_at = budget, 100.0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,10 +4,10 @@
 from typing import Any
 
 import pytest
-from helpers import balancer, tunnel
+from helpers import balancer, cold, tunnel
 
 from pointgw.interface import Listed, Profile
-from pointgw.policy import COLD_SAFE, FULL, HOME, NEVER, OVER, Setup, State
+from pointgw.policy import COLD_SAFE, FULL, HOME, OVER, Setup, State
 
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
@@ -155,7 +155,7 @@
 def test_given_up_is_answered_with_a_time_to_come_back() -> None:
     bal, notes, servers = balancer([1.0, 1.0])
     for ep in servers:
-        ep.full_load = 1.0
+        ep.full_load = ep.reckoned = 1.0
     tun = tunnel(bal)
     bal.arrived(tun, False, 100.0)
     assert tun.state is State.HELD
@@ -178,29 +178,30 @@
 def test_what_has_ended_or_moved_off_makes_no_room_before_a_report_shows_it() -> None:
     # One tunnel gone is not the mean tunnel's load gone: its group stays, and others were let in for it.
     bal, _, (ep, _) = balancer([0.9, 0.5])
-    ep.full_load = 0.9
+    ep.full_load = ep.reckoned = 0.9
     tun = tunnel(bal)
     bal.inherited(tun, ep, 99.0)
     bal.ended(tun, 0, "ok", True, {}, 100.0)
-    assert not bal._ready(ep, 100.0, 0.0)
+    assert not bal._ready([ep], 100.0)
 
 
 @pytest.mark.parametrize(("heard", "room"), [(None, True), (0.3, True), (0.9, False)])
 def test_an_unheard_server_has_room_as_the_others_have(heard: float | None, room: bool) -> None:
     bal, _, (ep, other) = balancer([None, heard], balancers=17)
     other.full_load = heard or 0.0
+    bal.purse = 0.0  # else it would be asked
     bal._learn(0.1)
     bal._send(tunnel(bal), other, 100.0)
-    assert bal._has_room(ep, -NEVER) is room
+    assert bool(bal._ready([ep], 100.0)) is room
 
 
 def test_a_server_that_all_balancers_fill_between_two_reports_is_not_ready() -> None:
     bal, _, (ep, _) = balancer([0.5, 0.5], balancers=4)
     ep.full_load, bal.load_unit = FULL - 0.35, 0.06
     bal._send(tunnel(bal), ep, 100.0)
-    assert bal._ready(ep, 100.0, 0.0)
+    assert bal._ready([ep], 100.0)
     bal._send(tunnel(bal), ep, 100.0)
-    assert not bal._ready(ep, 100.0, 0.0)
+    assert not bal._ready([ep], 100.0)
 
 
 def test_a_held_tunnel_is_answered_before_the_client_timeout() -> None:
@@ -282,8 +283,8 @@
 @pytest.mark.parametrize(("budget", "age", "ready"), [(0.0, 0.1, False), (1.0, 0.1, True), (0.0, 20.0, True)])
 def test_a_cold_server_is_ready_within_its_budget(budget: float, age: float, ready: bool) -> None:
     bal, _, (ep, _) = balancer([0.1, 0.1])
-    ep.started, ep.budget, ep.budget_at = 100.0 - age, budget, 100.0
-    assert bal._ready(ep, 100.0, 0.0) is ready
+    cold(bal, ep, 100.0 - age, budget)
+    assert bool(bal._ready([ep], 100.0)) is ready
 
 
 @pytest.mark.parametrize("load", [0.0, 0.5])
@@ -306,11 +307,11 @@
     sent, limit = 0, 0.0
     for seed in range(balancers):
         bal, _, (ep, _) = balancer([0.1, 0.1], balancers=balancers)
-        bal.cold_gain, ep.started = 2.0 / balancers, 100.0  # all balancers together, were it warm
-        ep.budget, ep.budget_at = Random(seed).random(), 100.0
+        bal.cold_gain, bal.load_unit = 2.0 / balancers, 0.0  # all balancers together, were it warm
+        cold(bal, ep, 100.0, Random(seed).random())
         for step in range(21):  # arrivals all the while, after the pause, for one tip span
             now = 100.0 + pause + step / 10
-            while bal._ready(ep, now, 0.0):
+            while bal._ready([ep], now):
                 bal._send(tunnel(bal), ep, now)
                 sent += 1
         share = bal.cold_share + (1 - bal.cold_share) * (pause + 1.0) / bal.cold_time
@@ -320,9 +321,9 @@
 
 def test_a_cold_server_pays_for_each_tunnel() -> None:
     bal, _, (ep, _) = balancer([0.1, 0.1])
-    ep.started, ep.budget, ep.budget_at = 99.0, 1.5, 100.0
+    cold(bal, ep, 99.0, 1.5)
     bal._send(tunnel(bal), ep, 100.0)
-    assert not bal._ready(ep, 100.0, 0.0)
+    assert not bal._ready([ep], 100.0)
 
 
 def test_a_quick_error_takes_a_server_out_of_the_draw_for_a_while() -> None:
