Moves go down to the median load of a crowded fleet, not to the limit

Change: the level that moves go down to, and begin 0.2 above, follows the median load, at most 1.1 times the limit's top (0.72).

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -42,7 +42,8 @@
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
-OVER = 0.2  # load over that limit from which open tunnels are moved off, down to it
+LEVEL = 1.1 * FULL  # the highest load that open tunnels are moved off down to
+OVER = 0.2  # load over that level from which they are moved
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
 NEVER = 1e9  # seconds ago
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
@@ -189,6 +190,7 @@
         self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
         self.load_unit = STEP  # what one tunnel adds to the load of a server
         self.full = FULL
+        self.level = FULL  # the load that moves take a server down to
         self.mean_load: float | None = None
         self.mean_busy = 0.0
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
@@ -659,12 +661,14 @@
 
         Guards against a fleet or a server that is asked for more than it can do (overload, a slowed
         machine, a noisy neighbour): it would answer no messages in time and drop tunnels anyway. All
-        balancers hear the same load, so the same part of each one's tunnels takes it down to FULL.
+        balancers hear the same load, so the same part of each one's tunnels takes it down to the level.
+        The level follows the median load of a crowded fleet a little. Guards against clients that are sent
+        round and round where most servers lie over the limit, so that there is hardly a better place.
         """
-        if ep.full_load < self.full + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
+        if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
-        part = 1.0 - self.full / ep.full_load
+        part = 1.0 - self.level / ep.full_load
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
@@ -722,6 +726,8 @@
             self.mean_load = sum(ep.full_load for ep in heard) / len(heard)
             self.mean_busy = sum(self._busy(ep, 0.0) for ep in heard) / len(heard)
             self.full = min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
+            median = sorted(ep.full_load for ep in heard)[len(heard) // 2]
+            self.level = min(max(self.full, median), LEVEL)
         count = sum(len(ep.tunnels) for ep in heard)
         self.open_time += count * span
         if count >= 2 * len(heard) > 0:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,7 @@
 from helpers import balancer, cold, tunnel
 
 from pointgw.interface import Listed, Profile
-from pointgw.policy import COLD_SAFE, FULL, HOME, OVER, Setup, State
+from pointgw.policy import COLD_SAFE, FULL, HOME, LEVEL, OVER, Setup, State
 
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
@@ -175,6 +175,18 @@
     assert notes.words() == ["move"] * moved and len(ep.tunnels) == 20 - moved
 
 
+@pytest.mark.parametrize(
+    ("loads", "level"), [([0.3, 0.9, 0.9], LEVEL), ([0.1, 0.1, 9.0], FULL), ([0.7] * 3, 0.7)]
+)
+def test_moves_go_down_to_what_a_crowded_fleet_holds(loads: list[float | None], level: float) -> None:
+    # Where most servers lie over the limit, moving down to it sends clients round and round.
+    bal, _, servers = balancer(loads)
+    for ep, load in zip(servers, loads, strict=True):
+        ep.full_load = load or 0.0
+    bal._learn(0.1)
+    assert bal.level == pytest.approx(level)
+
+
 def test_what_has_ended_or_moved_off_makes_no_room_before_a_report_shows_it() -> None:
     # One tunnel gone is not the mean tunnel's load gone: its group stays, and others were let in for it.
     bal, _, (ep, _) = balancer([0.9, 0.5])
