--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -477,6 +477,9 @@
             self.c = min(self.c + self.step, max(self.top, self.top_before))
         elif ratio > HIGH and self.c > 0:
             self.c = max(0.0, self.c - self.step)
+        self._open_window(now)
+
+    def _open_window(self, now: float) -> None:
         self.offers = self.accepted = 0
         self.window_at = now
 
@@ -711,8 +714,7 @@
             if self.offers >= WINDOW_LEAST:
                 self._steer(now)
             else:
-                self.offers = self.accepted = 0
-                self.window_at = now
+                self._open_window(now)
         if now - self.top_at >= LONG:
             self.top_before, self.top, self.top_at = self.top, 0.0, now
         self._learn(span)
@@ -781,7 +783,12 @@
         for tun in list(self.held):
             if tun.state is State.ASKING and now + 2 * self.pace >= tun.deadline:
                 tun.to(State.HELD)  # no time is left to wait for an answer
-                self._send(tun, tun.drawn[-1], now) if tun.drawn[-1].active else self._answer(tun, now)
+                # Guards rule 4: a cold server's budget may have gone to another tunnel meanwhile.
+                ready = self._ready([ep for ep in tun.drawn if ep.active], now)
+                if ready:
+                    self._send(tun, ready[-1], now)
+                else:
+                    self._answer(tun, now)
             elif tun.state is State.HELD and not (none_ready and not tun.setups and self._hopeful(tun, now)):
                 self._place(tun, now)
                 none_ready |= tun.state is State.HELD
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -135,6 +135,18 @@
         assert tun.setups[0].ep is servers[1]
 
 
+@pytest.mark.parametrize(("budget", "asked"), [(1.0, "setup"), (0.0, "decline")])
+def test_no_time_to_wait_for_an_answer_keeps_the_cold_budget(budget: float, asked: str) -> None:
+    bal, notes, (ep, _) = balancer([0.1, 0.1])
+    cold(bal, ep, 99.0, budget)
+    tun = tunnel(bal, left=0.2)
+    tun.drawn = [ep]
+    tun.to(State.ASKING)
+    bal._hold(tun, 100.0)
+    bal._serve_held(100.1)
+    assert notes.words() == [asked]
+
+
 @pytest.mark.parametrize(("balancers", "probes"), [(2, 20), (200, 0)])
 def test_many_balancers_do_not_all_probe_the_whole_fleet(balancers: int, probes: int) -> None:
     # With 200 balancers at 50 servers probes cost 0.6 of all credit.
