One check of room, one sum of loads; the list is ordered anew only when who is active changes

Found in a read of the change. The check of room stood twice, as did the test for tunnels that may go anywhere, the sum of the loads heard and the search for servers heard from. The list was sorted, and the part of the habit dropped, at each news of weights, which may come every second: a test beside it. Sentinels are infinite, so that no host's clock can pass them. The test of homes draws twenty times from one balancer, not once from twenty alike.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from hashlib import blake2b
 from heapq import nsmallest
+from math import inf
 from random import Random
 
 from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
@@ -45,7 +46,6 @@
 LEVEL = 1.1 * FULL  # the highest load that open tunnels are moved off down to
 OVER = 0.2  # load over that level from which they are moved
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
-NEVER = 1e9  # seconds ago
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
 
@@ -148,10 +148,10 @@
         """A process that has just started is not what the one before it was."""
         self.busy: float | None = None  # of the latest report; None: unheard
         self.full_load = 0.0  # load over capacity of the latest report
-        self.heard_at = self.asked_at = -NEVER  # when a report, or the answer to a probe, came
+        self.heard_at = self.asked_at = -inf  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
         self.shed_at = 0.0  # when tunnels were last moved off
-        self.reckoned = -NEVER  # load that tells whether it has room
+        self.reckoned = -inf  # load that tells whether it has room
         self.warm_at = 0.0  # when a process that started lately has its full capacity at the latest
         self.strikes = 0
         self.out_until = 0.0  # not ready before this
@@ -199,13 +199,13 @@
         # Own arrivals a second, smoothed.
         self.rate, self.came = 0.0, 0  # the rate starts with the first list
         self.round_at = self.round_due = now
-        self.tick_due = NEVER * 2
+        self.tick_due = inf
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}  # held or asking
         # Those of `live` that this balancer uses, where it can't use all; its start among every n-th.
         self.part: list[Server] | None = None
         self.start = self.chance()
-        self.live: list[Server] = []  # those of `servers` that are active, by name
+        self.live: list[Server] = []  # those of `servers` that are active, by mark
         self.purse = 0.0  # what probes may still cost, in credit
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self._wake(now, self.pace)
@@ -216,6 +216,7 @@
         """The list, or changes to it. A server that a whole list lacks is gone."""
         if not cached:
             self.watching, self.ask_wait = True, self.ask_every / 8
+        changed = False  # who is active; other news, such as weights, come every second
         if whole:
             for ep in self.servers.values():
                 ep.listed = False
@@ -234,14 +235,15 @@
                 ep.budget, ep.budget_at = self.uniform(0.0, 1.0), now
                 ep.probe_due = now
                 self._reckon(ep)
+            changed |= ep.active != (line.state == "active")
             ep.active, ep.listed = line.state == "active", True
         if whole:
             for ep in self.servers.values():
+                changed |= ep.active and not ep.listed
                 ep.active = ep.active and ep.listed
-        self.live = sorted(
-            (ep for ep in self.servers.values() if ep.active), key=lambda ep: (ep.mark, ep.name)
-        )
-        self.part = None
+        if changed:
+            active = [ep for ep in self.servers.values() if ep.active]
+            self.live, self.part = sorted(active, key=lambda ep: (ep.mark, ep.name)), None
         if not self.rate:
             self.rate = START_RATE * max(1, len(self.live)) / self.balancers
             self._earn(PROBE_SPEND * self.rate * LONG)
@@ -264,18 +266,19 @@
 
     def _ready(self, eps: list[Server], now: float) -> list[Server]:
         """Those that are ready: not suspended, with room, and within the budget of a cold one."""
-        again, full = self._again(now), self.full
         return [
             ep
-            for ep in eps
-            if ep.out_until <= now
-            and (ep.reckoned < full or ep.asked_at < again)
-            and (ep.warm_at <= now or self._within_budget(ep, now))
+            for ep in self._with_room(eps, now)
+            if ep.out_until <= now and (ep.warm_at <= now or self._within_budget(ep, now))
         ]
 
+    def _with_room(self, eps: list[Server], now: float) -> list[Server]:
+        again, full = self._again(now), self.full
+        return [ep for ep in eps if ep.reckoned < full or ep.asked_at < again]
+
     def _again(self, now: float) -> float:
         """A server not heard from since this refuses nobody: it is asked again before an offer."""
-        return now - KEPT * self.goal if self._may_ask() else -NEVER
+        return now - KEPT * self.goal if self._may_ask() else -inf
 
     def _reckon(self, ep: Server) -> None:
         """The load that tells whether a server has room: the reported one, with what all balancers are likely
@@ -288,7 +291,7 @@
         """
         load = self.mean_load if ep.busy is None else ep.full_load
         # With no report at all there is no unit to count in either: then all have room.
-        ep.reckoned = -NEVER if load is None else load + self._added(ep)
+        ep.reckoned = -inf if load is None else load + self._added(ep)
 
     def _added(self, ep: Server) -> float:
         """Load that all balancers are likely to have added since, each as this one did."""
@@ -327,14 +330,10 @@
         # Guards against being left without servers because all look bad at once, and against a storm on
         # servers that are bad: each suspended server may have one setup out at a time.
         if not ready:
-            again = self._again(now)
             ready = [
                 ep
-                for ep in able
-                if ep.out_until > now
-                and not ep.trying
-                and (ep.reckoned < self.full or ep.asked_at < again)
-                and self._within_budget(ep, now)
+                for ep in self._with_room(able, now)
+                if ep.out_until > now and not ep.trying and self._within_budget(ep, now)
             ]
         return ready
 
@@ -346,12 +345,11 @@
     @staticmethod
     def _may_go(tun: Tunnel, ep: Server, now: float) -> bool:
         """Rule 2: where another setup has no second effect."""
-        ran = [s for s in tun.setups if s.may_have_run]
-        if not ran or tun.profile.semantics == "repeatable":
+        if Balancer._free(tun):
             return True
         if tun.profile.semantics == "once-only":
             return False
-        first, group = ran[0], tun.profile.group
+        first, group = next(s for s in tun.setups if s.may_have_run), tun.profile.group
         same = group == "all" or (first.ep.zone == ep.zone if group == "zone" else first.ep.cell == ep.cell)
         return same and now < first.sent_at + tun.profile.window
 
@@ -466,7 +464,7 @@
 
         Guards against a c that stays far from the figures all day, where each offer is plain chance.
         """
-        heard = sorted(ep.busy for ep in self.live if ep.busy is not None)
+        heard = sorted(ep.busy or 0.0 for ep in self._heard_of())
         if 2 * len(heard) > len(self.live):
             self.c, self.c_started = heard[len(heard) // 2], True
 
@@ -695,7 +693,7 @@
     def tick(self, now: float) -> None:
         if now < self.tick_due - 1e-3:
             return  # a timer that an earlier one has overtaken
-        self.tick_due = NEVER * 2
+        self.tick_due = inf
         if now >= self.round_due:
             self._round(now)
         self._serve_held(now)
@@ -724,8 +722,9 @@
     def _learn(self, span: float) -> None:
         """What the limit is, what one tunnel adds to a load, and what a cold server may get."""
         heard = self._heard_of()
+        total = sum(ep.full_load for ep in heard)
         if heard:
-            self.mean_load = sum(ep.full_load for ep in heard) / len(heard)
+            self.mean_load = total / len(heard)
             self.mean_busy = sum(self._busy(ep, 0.0) for ep in heard) / len(heard)
             self.full = min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
             median = sorted(ep.full_load for ep in heard)[len(heard) // 2]
@@ -734,7 +733,6 @@
         self.open_time += count * span
         if count >= 2 * len(heard) > 0:
             # Never nought, also where the servers report no load at all.
-            total = sum(ep.full_load for ep in heard)
             self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
             if self.fraction:
                 self.unit = self.load_unit
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -68,9 +68,10 @@
 def test_a_group_has_the_same_home_at_all_balancers(balancers: int, mean: float, gathers: bool) -> None:
     # A group scattered over a large fleet is paid for at every server, and none sees the others' tunnels.
     drawn = set()
+    bal, _, servers = balancer([0.1] * 20, balancers=balancers)
+    bal.mean_load = mean
     for _ in range(20):
-        bal, _, servers = balancer([0.1] * 20, balancers=balancers)
-        bal.mean_load = mean
+        bal.zone = 0
         drawn |= {ep.name for ep in bal._draw(tunnel(bal, group="g"), servers[::-1])}
         bal.zone = 1
         drawn |= {ep.name for ep in bal._draw(tunnel(bal, group="g"), servers)}
@@ -97,6 +98,15 @@
     assert min(users.values()) > 0.5 * balancers / parts and max(users.values()) < 1.6 * balancers / parts
 
 
+@pytest.mark.parametrize(("state", "kept"), [("active", True), ("leaving", False)])
+def test_a_part_is_kept_while_only_weights_change(state: Any, kept: bool) -> None:
+    # Weights may come every second: ordering the list and leaving the part each time would be for nothing.
+    bal, _, servers = balancer([0.1] * 4)
+    bal.part = servers[:2]
+    bal.listed([Listed(servers[0].name, state, 0, 0, 0, 0.0, 0.5)], False, False, 100.0)
+    assert (bal.part is not None) is kept and (servers[0] in bal.live) is kept
+
+
 def test_a_part_with_no_ready_server_lets_the_others_serve() -> None:
     bal, _, servers = balancer([0.1] * 4)
     bal.part = servers[:2]
