--- /dev/null
+++ b/pointgw/__main__.py
@@ -0,0 +1,31 @@
+"""`python -m pointgw`: one real balancer, told what it needs by the file that $GW_CONFIG names."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+from pointgw.net.run import log
+from pointgw.net.run.node import run
+from pointgw.net.wire.start import start
+from pointgw.site import Malformed
+
+
+def main() -> int:
+    log.begin()
+    path = os.environ.get("GW_CONFIG")
+    if not path:
+        print("pointgw: expected GW_CONFIG to name the start-up file", file=sys.stderr)
+        return 2
+    try:
+        told = start(Path(path).read_bytes())
+    except (OSError, Malformed) as fault:
+        print(f"pointgw: {path}: {fault}", file=sys.stderr)
+        return 2
+    run(told)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pointgw/drill/codec.py
+++ b/pointgw/drill/codec.py
@@ -1,34 +1,19 @@
-"""The bench's wire as text: its lines to fields, its settings to a `Site`, its words to ours."""
+"""The bench's wire as text: its lines to fields, its words to ours."""
 
 from __future__ import annotations
 
-import math
-from collections.abc import Callable
-from typing import Any, TypeVar, cast
+from typing import Any, cast
 
-from pointgw.interface import Ending, Group, Listed, Profile, Report, Semantics, Site
-
-Fields = dict[str, str]
-T = TypeVar("T")
+from pointgw.interface import Ending, Listed, Report
+from pointgw.site import Fields, Malformed, choice, number, seconds, text, wanted, whole
+from pointgw.site import report as report_of
 
 ENDINGS: dict[str, Ending] = {
     "GOOD": "ok", "BAD": "error", "FULL": "full", "LATE": "timeout", "NOCONN": "no-connection",
     "RST": "reset", "CXL": "cancelled", "NOP": "moot",
 }  # fmt: skip
-REPORT_WORDS = {
-    "rif": "connections", "x0": "load", "x1": "backlog", "q": "waiting", "busy": "util", "rate": "rate",
-    "lat_ms": "delay", "fail_rate": "errors",
-}  # fmt: skip
-SEMANTICS: dict[str, Semantics] = {"pure": "repeatable", "token": "referenced", "side_effect": "once-only"}
-GROUPS: dict[str, Group] = {"all": "all", "zone": "zone", "cell": "cell"}
 STATES = {"active": "active", "leaving": "leaving", "left": "left"}
-MODES = {"subscribe": True, "automatic": False}
 FORMS = {"delta": "delta", "full": "full", "cached": "cached", "failed": "failed"}
-FLAGS = {"true": True, "false": False, "1": True, "0": False}
-
-
-class Malformed(Exception):
-    """A line that the wire does not allow; its text says what was expected."""
 
 
 def split(line: str) -> tuple[str, Fields]:
@@ -43,73 +28,8 @@
     return word, fields
 
 
-def _fail(name: str, value: str | None, wanted: str) -> Malformed:
-    return Malformed(f"expected {name} as {wanted}, got {'nothing' if value is None else repr(value)}")
-
-
-def text(fields: Fields, name: str) -> str:
-    value = fields.get(name)
-    if not value:
-        raise _fail(name, value, "a word")
-    return value
-
-
-def whole(fields: Fields, name: str, default: int | None = None) -> int:
-    value = fields.get(name)
-    if value is None and default is not None:
-        return default
-    try:
-        return int(cast(str, value))
-    except (TypeError, ValueError):
-        raise _fail(name, value, "a whole number") from None
-
-
-def number(fields: Fields, name: str, default: float | None = None) -> float:
-    value = fields.get(name)
-    if value is None and default is not None:
-        return default
-    try:
-        figure = float(cast(str, value))
-    except (TypeError, ValueError):
-        figure = math.nan
-    if not math.isfinite(figure):
-        raise _fail(name, value, "a number")
-    return figure
-
-
-def seconds(fields: Fields, name: str, default: float | None = None) -> float:
-    """A time in milliseconds on the wire, in seconds here."""
-    return number(fields, name, None if default is None else default * 1e3) / 1e3
-
-
-def choice(fields: Fields, name: str, words: dict[str, T], default: T | None = None) -> T:
-    value = fields.get(name)
-    if value is None and default is not None:
-        return default
-    if value not in words:
-        raise _fail(name, value, "one of " + ", ".join(words))
-    return words[value]
-
-
-def flag(fields: Fields, name: str, default: bool | None = False) -> bool:
-    return choice(fields, name, FLAGS, default)
-
-
 def report(fields: Fields) -> Report:
-    """A load report in our words; values this page does not know are skipped."""
-    pairs = fields.get("telemetry")
-    figures: Report = {}
-    for pair in pairs.split(",") if pairs and pairs != "-" else ():
-        name, sign, value = pair.partition(":")
-        try:
-            figure = float(value)
-        except ValueError:
-            sign = ""
-        if not sign or not math.isfinite(figure):
-            raise _fail("telemetry", pair, "name:number pairs")
-        if name in REPORT_WORDS:
-            figures[REPORT_WORDS[name]] = figure / 1e3 if name == "lat_ms" else figure
-    return figures
+    return report_of(fields.get("telemetry", ""), ":")
 
 
 def entry(fields: Fields) -> Listed:
@@ -129,50 +49,4 @@
     try:
         return b"" if value == "-" else bytes.fromhex(value)
     except ValueError:
-        raise _fail(name, value, "hex digits") from None
-
-
-def _list(conf: Fields, name: str, convert: Callable[[str], T]) -> tuple[T, ...]:
-    value = conf.get(name, "")
-    try:
-        return tuple(convert(item) for item in value.split(",") if item)
-    except ValueError:
-        raise _fail(name, value, "a list") from None
-
-
-def site(settings: Fields) -> Site:
-    """The settings of one balancer. Keys not known here are skipped; null is an absent value.
-
-    What is absent is taken as what binds most: once-only tunnels, a list that must be asked, slow starts.
-    """
-    conf = {name: value for name, value in settings.items() if value != "null"}
-    profiles = tuple(
-        Profile(
-            semantics=choice(conf, f"profiles.{i}.semantics", SEMANTICS, SEMANTICS["side_effect"]),
-            group=choice(conf, f"profiles.{i}.group", GROUPS, GROUPS["cell"]),
-            window=seconds(conf, f"profiles.{i}.dedupWindow", 0.0),
-            setup_goal=seconds(conf, f"profiles.{i}.setupGoal", 0.5),
-            client_timeout=seconds(conf, f"profiles.{i}.clientTimeout", 3.0),
-            credit=number(conf, f"profiles.{i}.credit", 1.0),
-        )
-        for i in range(max(1, whole(conf, "profiles.count", 1)))
-    )
-    advice = flag(conf, "limits.retryAfter", False)
-    return Site(
-        balancers=max(1, whole(conf, "instances", 1)),
-        zone=whole(conf, "zone", 0),
-        profiles=profiles,
-        asks=choice(conf, "membershipMode", MODES, MODES["subscribe"]),
-        ask_every=seconds(conf, "rules.askEvery", 10.0),
-        fields=tuple(REPORT_WORDS.get(name, name) for name in _list(conf, "report.fields", str)),
-        max_setups=whole(conf, "limits.maxSetups", 1),
-        may_probe=flag(conf, "limits.probes", False),
-        may_call_off=flag(conf, "limits.mayCancel", False),
-        come_back=seconds(conf, "limits.maxRetryAfter", 0.0) if advice else 0.0,
-        grain=seconds(conf, "quantum", 0.0),
-        cold_share=number(conf, "rules.coldFrom", 0.1),
-        cold_time=seconds(conf, "rules.cold", 30.0),
-        tip_multiple=number(conf, "rules.tipMultiple", 1.0),
-        tip_span=seconds(conf, "rules.fall", 1.0),
-        probe_price=number(conf, "prices.probe", 0.0),
-    )
+        raise wanted(name, value, "hex digits") from None
--- a/pointgw/drill/host.py
+++ b/pointgw/drill/host.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable, Iterable
 from typing import IO, TextIO
 
+from pointgw import site
 from pointgw.drill import codec
-from pointgw.drill.codec import Fields, Malformed
 from pointgw.interface import Listed
 from pointgw.policy import Balancer, Server, Tunnel
+from pointgw.site import Fields, Malformed
 
 
 def _ms(span: float) -> str:
@@ -25,8 +26,8 @@
     def __init__(self, fields: Fields, now: float) -> None:
         self.lines: list[str] = []
         self.tunnels: dict[str, Tunnel] = {}
-        seed, site = codec.whole(fields, "randomSeed"), codec.site(fields)
-        self.balancer = Balancer(site, self, random.Random(seed), now)
+        seed = site.whole(fields, "randomSeed")
+        self.balancer = Balancer(site.site(fields), self, random.Random(seed), now)
 
     # What the decisions may ask for.
 
@@ -56,18 +57,6 @@
     def timer(self, delay: float) -> None:
         self.lines.append(f"TIMER\tspan={_ms(delay)}\tcookie=0")
 
-    def fetch(self) -> None:
-        self.lines.append("REFRESH")
-
-    def close_idle(self, ep: Server) -> None:
-        self.lines.append(f"DROP_CONNS\tserver={ep.name}")
-
-    def tell(self, data: bytes) -> None:
-        self.lines.append(f"SIGNAL\twhom=*\tbytes={data.hex() or '-'}")
-
-    def log(self, text: str) -> None:
-        self.lines.append(f"EMIT\tline={text}")
-
     # What the wire reports.
 
     def announce(self, form: str, entries: list[Listed], now: float) -> None:
@@ -77,31 +66,31 @@
             self.balancer.listed(entries, form != "delta", form == "cached", now)
 
     def server(self, fields: Fields) -> Server:
-        name = codec.text(fields, "server")
+        name = site.text(fields, "server")
         ep = self.balancer.servers.get(name)
         if ep is None:
             raise Malformed(f"expected a server that a list has named, got {name!r}")
         return ep
 
     def tunnel(self, fields: Fields) -> Tunnel:
-        name = codec.text(fields, "xid")
+        name = site.text(fields, "xid")
         tun = self.tunnels.get(name)
         if tun is None:
             raise Malformed(f"expected a tunnel that was handed in and is not over, got {name!r}")
         return tun
 
     def new_tunnel(self, fields: Fields, deadline: float) -> Tunnel:
-        name = codec.text(fields, "xid")
+        name = site.text(fields, "xid")
         if name in self.tunnels:
             raise Malformed(f"expected a new tunnel, got {name!r} again")
         tun = self.balancer.tunnel(
             name,
             self.profile(fields),
-            codec.whole(fields, "owner", 0),
+            site.whole(fields, "owner", 0),
             fields.get("routeKey", ""),
             fields.get("teamId", ""),
             deadline,
-            codec.flag(fields, "cameBack", False),
+            site.flag(fields, "cameBack", False),
         )
         self.tunnels[name] = tun
         return tun
@@ -111,8 +100,8 @@
             self.tunnels.pop(tun.name, None)
 
     def on_job_in(self, fields: Fields, now: float) -> None:
-        tun = self.new_tunnel(fields, now + codec.seconds(fields, "expiresIn"))
-        self.balancer.arrived(tun, codec.flag(fields, "stray", False), now)
+        tun = self.new_tunnel(fields, now + site.seconds(fields, "expiresIn"))
+        self.balancer.arrived(tun, site.flag(fields, "stray", False), now)
         self.drop_done(tun)
 
     def on_inherited(self, fields: Fields, now: float) -> None:
@@ -121,7 +110,7 @@
         self.balancer.inherited(tun, ep, now)
 
     def profile(self, fields: Fields) -> int:
-        i = codec.whole(fields, "grade", 0)
+        i = site.whole(fields, "grade", 0)
         if not 0 <= i < len(self.balancer.profiles):
             raise Malformed(f"expected grade under {len(self.balancer.profiles)}, got {i}")
         return i
@@ -131,14 +120,14 @@
         self.balancer.opened(tun, self.number(tun, fields), now)
 
     def number(self, tun: Tunnel, fields: Fields) -> int:
-        i = codec.whole(fields, "roundNo")
+        i = site.whole(fields, "roundNo")
         if not 0 <= i < len(tun.setups):
             raise Malformed(f"expected roundNo of a setup that was made, got {i}")
         return i
 
     def on_heartbeat(self, fields: Fields, now: float) -> None:
-        tun, kind = self.tunnel(fields), codec.whole(fields, "kind")
-        level = codec.number(fields, "level")
+        tun, kind = self.tunnel(fields), site.whole(fields, "kind")
+        level = site.number(fields, "level")
         if kind == 1:
             self.balancer.load_noted(tun, level / 1e6)
         elif kind == 2:
@@ -149,30 +138,30 @@
         self.balancer.ended(
             tun,
             self.number(tun, fields),
-            codec.choice(fields, "ending", codec.ENDINGS),
-            codec.flag(fields, "settled", False),
+            site.choice(fields, "ending", codec.ENDINGS),
+            site.flag(fields, "settled", False),
             codec.report(fields),
             now,
         )
         self.drop_done(tun)
 
     def on_left(self, fields: Fields, now: float) -> None:
-        tun = self.tunnels.get(codec.text(fields, "xid"))
+        tun = self.tunnels.get(site.text(fields, "xid"))
         if tun is not None:  # it may be over already
             self.balancer.left(tun, now)
             self.drop_done(tun)
 
     def on_probed(self, fields: Fields, now: float) -> None:
-        ending = codec.choice(fields, "ending", codec.ENDINGS)
+        ending = site.choice(fields, "ending", codec.ENDINGS)
         self.balancer.probed(self.server(fields), ending, codec.report(fields), now)
 
     def on_tick_due(self, fields: Fields, now: float) -> None:
-        codec.whole(fields, "cookie")
+        site.whole(fields, "cookie")
         self.balancer.tick(now)
 
     def on_datagram(self, fields: Fields, now: float) -> None:
         """The decisions take nothing from other balancers: telling reports was measured and lost."""
-        codec.whole(fields, "originPeer")
+        site.whole(fields, "originPeer")
         codec.payload(fields, "bytes")
 
 
@@ -214,7 +203,7 @@
         if word == "TURN":
             if self.turn is not None:
                 raise Malformed("expected OVER_TO_YOU before the next TURN")
-            self.turn, self.now = codec.whole(fields, "turn"), codec.seconds(fields, "time")
+            self.turn, self.now = site.whole(fields, "turn"), site.seconds(fields, "time")
             self.current = None
             return None
         if self.turn is None:
@@ -222,10 +211,10 @@
         if word == "OVER_TO_YOU":
             return self.reply()
         if word == "INSTANCE":
-            self.current = codec.whole(fields, "balancerId")
+            self.current = site.whole(fields, "balancerId")
         elif word == "CATALOG":
-            self.filling = self.tables[codec.whole(fields, "table")] = []
-            self.missing = codec.whole(fields, "entries")
+            self.filling = self.tables[site.whole(fields, "table")] = []
+            self.missing = site.whole(fields, "entries")
         else:
             self.event(word, fields)
         return None
@@ -247,8 +236,8 @@
             return
         self.touched[self.current] = instance
         if word == "ANNOUNCE":
-            form = codec.choice(fields, "form", codec.FORMS)
-            table = codec.whole(fields, "table", -1)
+            form = site.choice(fields, "form", codec.FORMS)
+            table = site.whole(fields, "table", -1)
             if form != "failed" and table not in self.tables:
                 raise Malformed(f"expected table of a CATALOG that came before, got {table}")
             instance.announce(form, self.tables.get(table, []), self.now)
--- /dev/null
+++ b/pointgw/net/memory/effects.py
@@ -0,0 +1,102 @@
+"""What the reducer asks of the sockets' side."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pointgw.net.wire.lines import Answer, Opening
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Connect:
+    """Sets a tunnel up: a new connection, its first line, and the answer within a time."""
+
+    client: int
+    setup: int
+    address: Address
+    opening: Opening
+    patience: float | None  # told to the server; None: the line goes on as it came
+    within: float  # for all of it
+    connect_within: float
+    after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Drop:
+    """Gives up a setup, or ends an open tunnel at its server."""
+
+    client: int
+    setup: int
+    reset: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The final answer to a client that was not opened; its connection ends with it."""
+
+    client: int
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class Join:
+    """Passes the server's answer on, and then all lines both ways."""
+
+    client: int
+    setup: int
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Ends a client's connection in the way its server did."""
+
+    client: int
+    reset: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """Sends a client away politely and ends both sides."""
+
+    client: int
+    setup: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    server: str
+    address: Address
+    within: float
+    connect_within: float
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A call to discovery; `after`: the version known, `hold`: how long it may wait."""
+
+    after: int | None
+    hold: float
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """A `Tick` after a time."""
+
+    delay: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopIn:
+    """Another `Stopping` after a time."""
+
+    delay: float
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """Nothing is left to do."""
+
+
+Effect = Connect | Drop | Reply | Join | End | Move | Probe | Ask | Wake | StopIn | Exit
--- /dev/null
+++ b/pointgw/net/memory/reducer.py
@@ -0,0 +1,346 @@
+"""The one place where state changes: an event at a time goes in, the effects it asks for come out.
+
+The decisions are the module's (`pointgw.policy`). This file keeps who is connected, turns events into
+calls of the module, and what the module asks of its `Host` into effects.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import ceil, inf
+from random import Random
+
+from pointgw.interface import Ending, Report
+from pointgw.net.memory.effects import (
+    Address,
+    Ask,
+    Connect,
+    Drop,
+    Effect,
+    End,
+    Exit,
+    Join,
+    Move,
+    Probe,
+    Reply,
+    StopIn,
+    Wake,
+)
+from pointgw.net.memory.events import (
+    Arrived,
+    Ended,
+    Event,
+    Left,
+    ListFailed,
+    Opened,
+    Probed,
+    Slow,
+    Stopping,
+    Tick,
+    Told,
+    Weighed,
+)
+from pointgw.net.sure import must
+from pointgw.net.wire.lines import Decline, Failure, Opening
+from pointgw.net.wire.listing import Listing
+from pointgw.net.wire.start import Start
+from pointgw.policy import Balancer, Server, State, Tunnel
+
+HOLD = 2.0  # of the time after which a balancer that does not ask counts as told: how long a watch waits
+AGAIN = 0.25  # seconds until a tunnel that stood before the run is asked for again
+STANDING = 40.0  # seconds in which such a tunnel must be up
+ARRIVE_ON = 0.5  # seconds after the signal to stop in which new connections still come
+STEP = 0.1  # seconds between two rounds of moves while stopping
+LAST = 0.3  # seconds that the last moves have before the process may be killed
+KILL_AFTER, LONGEST = 0.7, 3.0  # it is killed that long after the longest client timeout, at most this
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """One client connection that has asked for a tunnel."""
+
+    number: int
+    opening: Opening
+    tun: Tunnel
+    came: float
+    standing: Server | None = None  # where its tunnel stood before the run, until it is up
+    answered: bool = False  # it got its final answer, or is gone
+
+
+class Reducer:
+    """All that this balancer keeps."""
+
+    def __init__(self, start: Start, now: float) -> None:
+        self.effects: list[Effect] = []
+        self.later: list[tuple[Tunnel, int, Ending]] = []  # ends that follow from what was asked for
+        self.clients: dict[int, Client] = {}
+        self.of: dict[Tunnel, Client] = {}
+        self.addresses: dict[str, Address] = {}
+        self.index: int | None = None
+        self.asking = False
+        self.wake_at = inf
+        self.now = now
+        self.stop_at = inf  # when the signal to stop came
+        self.profiles = {name: i for i, name in enumerate(start.profiles)}
+        self.tenants = {name: i for i, name in enumerate(start.tenants)}
+        self.connect_within = start.connect_within
+        self.hold = HOLD * start.site.ask_every
+        longest = max(p.client_timeout for p in start.site.profiles)
+        self.stop_within = min(longest, LONGEST) + KILL_AFTER - LAST
+        self.probe_within = min(p.setup_goal for p in start.site.profiles) / 2
+        self.balancer = Balancer(start.site, self, Random(start.seed), now)
+        self._list(start.known, True)
+
+    def take(self, event: Event, now: float) -> list[Effect]:
+        """The one entry: changes the state and gives the effects, in order."""
+        self.now = now
+        match event:
+            case Arrived():
+                self._arrived(event)
+            case Left():
+                self._left(event)
+            case Opened():
+                self._opened(event)
+            case Ended():
+                self._ended(event)
+            case Weighed():
+                if event.client in self.clients:
+                    self.balancer.load_noted(self.clients[event.client].tun, event.load.load / 1e6)
+            case Slow():
+                self._slow(event)
+            case Probed():
+                self.balancer.probed(self.balancer.servers[event.server], event.ending, event.report, now)
+            case Told():
+                self._told(event)
+            case ListFailed():
+                self.asking = False
+                self.balancer.list_failed(now)
+            case Tick():
+                self._tick()
+            case Stopping():
+                self._stopping()
+        while self.later:
+            tun, number, ending = self.later.pop(0)
+            self._over(tun, number, ending, True, {})
+        return self.given()
+
+    def given(self) -> list[Effect]:
+        effects, self.effects = self.effects, []
+        return effects
+
+    # Clients.
+
+    def _arrived(self, event: Arrived) -> None:
+        opening, now = event.opening, self.now
+        profile = self.profiles.get(opening.profile)
+        if not must(event.client not in self.clients, "a client arrives once"):
+            return
+        if profile is None or (opening.at and opening.at not in self.balancer.servers):
+            self.effects.append(Reply(event.client, Failure()))
+            return
+        if now >= self.stop_at + ARRIVE_ON:
+            self.effects.append(Reply(event.client, Decline(0.0)))
+            return
+        patience = opening.patience
+        if patience is None:
+            patience = self.balancer.profiles[profile].client_timeout
+        tun = self.balancer.tunnel(
+            opening.name, profile, self.tenants.get(opening.tenant, 0), opening.key, opening.group,
+            now + patience, opening.back,
+        )  # fmt: skip
+        client = Client(event.client, opening, tun, now)
+        self.clients[event.client] = self.of[tun] = client
+        if opening.at:
+            client.standing = self.balancer.servers[opening.at]
+            self._stand(client, 0.0)
+        else:
+            self.balancer.arrived(tun, False, now)
+
+    def _stand(self, client: Client, after: float) -> None:
+        """A tunnel that stood before the run goes to its server, whatever the module would choose."""
+        assert client.standing is not None
+        address = self.addresses[client.standing.name]
+        self.effects.append(
+            Connect(client.number, 0, address, client.opening, None, STANDING, STANDING, after)
+        )
+
+    def _left(self, event: Left) -> None:
+        client = self.clients.get(event.client)
+        if client is None:
+            return
+        client.answered = True
+        tun = client.tun
+        was_open = tun.state is State.OPEN
+        self.balancer.left(tun, self.now)
+        if client.standing is not None:
+            self.effects.append(Drop(client.number, 0, event.reset))
+            client.standing = None
+        elif was_open:
+            number = len(tun.setups) - 1
+            self.effects.append(Drop(client.number, number, event.reset))
+            self.later.append((tun, number, "cancelled"))
+        self._forget_done(client)
+
+    def _forget_done(self, client: Client) -> None:
+        if client.tun.done and client.standing is None:
+            must(client.answered, "a tunnel ends with a final answer")
+            self.clients.pop(client.number, None)
+            self.of.pop(client.tun, None)
+
+    # Setups.
+
+    def _opened(self, event: Opened) -> None:
+        client = self.clients.get(event.client)
+        if client is None:
+            self.effects.append(Drop(event.client, event.setup))
+            return
+        tun = client.tun
+        if client.standing is not None:
+            ep, client.standing = client.standing, None
+            self.balancer.inherited(tun, ep, self.now)
+        else:
+            self.balancer.opened(tun, event.setup, self.now)
+        if tun.state is State.OPEN and event.setup == len(tun.setups) - 1:
+            client.answered = True
+            self.effects.append(Join(client.number, event.setup))
+        else:  # given up meanwhile
+            self.effects.append(Drop(client.number, event.setup))
+            self.later.append((tun, event.setup, "cancelled"))
+
+    def _ended(self, event: Ended) -> None:
+        client = self.clients.get(event.client)
+        if client is None:
+            return
+        tun, ending = client.tun, event.closing.ending
+        if client.standing is not None:
+            if self.now - client.came < STANDING:
+                self._stand(client, AGAIN)
+            else:
+                client.standing = None
+                self.balancer.left(tun, self.now)
+                self._answer(client, Failure())
+            return
+        if not must(event.setup < len(tun.setups) and tun.setups[event.setup].out, "a setup ends once"):
+            return
+        was_open = tun.state is State.OPEN
+        if was_open:
+            self.effects.append(End(client.number, event.reset))
+        self._over(tun, event.setup, ending, was_open, event.closing.report)
+
+    def _over(self, tun: Tunnel, number: int, ending: Ending, closed: bool, report: Report) -> None:
+        client = self.of.get(tun)
+        if client is None or not must(tun.setups[number].out, "a setup ends once"):
+            return
+        self.balancer.ended(tun, number, ending, closed, report, self.now)
+        self._forget_done(client)
+
+    def _slow(self, event: Slow) -> None:
+        client = self.clients.get(event.client)
+        if client is None or client.tun.state is not State.OPEN:
+            return
+        if event.silent:
+            self.balancer.silent(client.tun, event.span, self.now)
+        else:
+            self.balancer.delay_noted(client.tun, event.span, self.now)
+
+    # The list and the clock.
+
+    def _told(self, event: Told) -> None:
+        self.asking = False
+        self._list(event.listing, False)
+        self._ask(self.hold)
+
+    def _list(self, listing: Listing, cached: bool) -> None:
+        for name, host, port in listing.addresses:
+            self.addresses[name] = (host, port)
+        self.index = listing.index
+        self.balancer.listed(listing.servers, listing.whole, cached, self.now)
+
+    def _ask(self, hold: float) -> None:
+        if not self.asking:
+            self.asking = True
+            self.effects.append(Ask(self.index, hold))
+
+    def _tick(self) -> None:
+        if self.now < self.wake_at:
+            if self.wake_at < inf:
+                self.effects.append(Wake(self.wake_at - self.now))
+            return
+        self.wake_at = inf
+        self.balancer.tick(self.now)
+
+    def _stopping(self) -> None:
+        """Moves all tunnels off, a few at a time, once no new connections come."""
+        self.stop_at = min(self.stop_at, self.now)
+        since = self.now - self.stop_at
+        left = self.stop_within - since
+        if since >= ARRIVE_ON:
+            standing = [c for c in self.clients.values() if c.tun.state is State.OPEN]
+            if left <= 0 or not self.clients:
+                self.effects.append(Exit())
+                return
+            rounds = max(1, int((left - LAST) / STEP))
+            for client in standing[: ceil(len(standing) / rounds)]:
+                self.balancer.left(client.tun, self.now)
+                self.move(client.tun)
+        self.effects.append(StopIn(STEP))
+
+    # What the module asks for (`pointgw.interface.Host`).
+
+    def setup(self, tun: Tunnel, ep: Server, patience: float) -> None:
+        client = self.of[tun]
+        within = min(self.connect_within, patience)
+        address = self.addresses[ep.name]
+        self.effects.append(
+            Connect(client.number, len(tun.setups) - 1, address, client.opening, patience, patience, within)
+        )
+
+    def call_off(self, tun: Tunnel, number: int) -> None:
+        self.effects.append(Drop(self.of[tun].number, number))
+        self.later.append((tun, number, "cancelled"))
+
+    def decline(self, tun: Tunnel, come_back: float) -> None:
+        self._answer(self.of[tun], Decline(come_back))
+
+    def close_with_error(self, tun: Tunnel) -> None:
+        self._answer(self.of[tun], Failure())
+
+    def _answer(self, client: Client, answer: Decline | Failure) -> None:
+        if must(not client.answered, "a tunnel gets one final answer"):
+            client.answered = True
+            self.effects.append(Reply(client.number, answer))
+            self._forget_done(client)
+
+    def move(self, tun: Tunnel) -> None:
+        number = len(tun.setups) - 1
+        self.effects.append(Move(self.of[tun].number, number))
+        self.later.append((tun, number, "cancelled"))
+
+    def probe(self, ep: Server) -> None:
+        address = self.addresses[ep.name]
+        self.effects.append(Probe(ep.name, address, self.probe_within, self.connect_within))
+
+    def watch(self) -> None:
+        self._ask(0.0)
+
+    def timer(self, delay: float) -> None:
+        if self.now + delay < self.wake_at:
+            self.wake_at = self.now + delay
+            self.effects.append(Wake(delay))
+
+    # For the log.
+
+    def figures(self) -> dict[str, object]:
+        """How things stand."""
+        states = [client.tun.state for client in self.clients.values()]
+        live = self.balancer.live
+        return {
+            "open": states.count(State.OPEN),
+            "setting_up": states.count(State.SETTING_UP),
+            "held": states.count(State.HELD) + states.count(State.ASKING),
+            "servers": len(live),
+            "suspended": sum(ep.out_until > self.now for ep in live),
+            "cold": sum(ep.warm_at > self.now for ep in live),
+            "c": float(self.balancer.c),
+            "watching": self.balancer.watching,
+        }
--- /dev/null
+++ b/pointgw/net/run/client.py
@@ -0,0 +1,110 @@
+"""A client's connection: its first line, its answer, and then its lines to the server."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, cast
+
+from pointgw.net.memory.events import Arrived, Left
+from pointgw.net.run import ends
+from pointgw.net.wire import lines
+from pointgw.site import Malformed
+
+if TYPE_CHECKING:
+    from pointgw.net.run.node import Node
+    from pointgw.net.run.server import ServerSide
+
+FULL_BUFFER = 16 * 1024  # bytes waiting for one side after which the other is not read
+LINGER = 0.25  # seconds that a client has to end its side once it got its last line
+
+_log = logging.getLogger("pointgw.client")
+
+
+class ClientSide(asyncio.Protocol):
+    __slots__ = ("buffer", "node", "number", "over", "server", "transport")
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.number = -1  # not given yet: no tunnel was asked for
+        self.buffer = bytearray()
+        self.server: ServerSide | None = None
+        self.over = False  # nothing is said to it any more
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(FULL_BUFFER)
+        self.node.sides.add(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.server is not None:
+            self.server.pass_on(data)
+        elif not self.over:
+            self.buffer += data
+            if self.number < 0:
+                self._first_lines()
+            elif len(self.buffer) > FULL_BUFFER:
+                self.transport.pause_reading()
+
+    def _first_lines(self) -> None:
+        try:
+            while self.number < 0:
+                line = lines.cut(self.buffer)
+                if line is None:
+                    return
+                message = lines.client_line(line)
+                if isinstance(message, lines.Ping):
+                    self.transport.write((lines.ERR if self.node.stopping else lines.PONG) + lines.END)
+                else:
+                    self.number = self.node.number(self)
+                    self.node.feed(Arrived(self.number, message))
+        except Malformed as fault:
+            _log.warning("bad line", extra={"fields": {"why": fault}})
+            self.answer(lines.Failure())
+
+    def answer(self, answer: lines.Answer) -> None:
+        """The final answer to a client that was not opened."""
+        self.transport.write(lines.answer_line(answer))
+        self.end()
+
+    def join(self, server: ServerSide, first: bytes) -> None:
+        self.transport.write(first)
+        self.server = server
+        if self.buffer:
+            server.pass_on(bytes(self.buffer))
+            self.buffer.clear()
+        self.transport.resume_reading()
+
+    def move(self) -> None:
+        """Only whole lines were written, so this stands between two."""
+        self.transport.write(lines.MOVE + lines.END)
+        self.end()
+
+    def end(self, reset: bool = False) -> None:
+        self.over, self.server = True, None
+        if reset:
+            ends.reset(self.transport)
+        else:
+            ends.finish(self.transport, LINGER)
+
+    def pause_writing(self) -> None:
+        if self.server is not None and self.server.transport is not None:
+            self.server.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.server is not None and self.server.transport is not None:
+            self.server.transport.resume_reading()
+
+    def eof_received(self) -> None:
+        self._gone(False)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._gone(exc is not None)
+        self.node.sides.discard(self)
+        self.node.forget(self.number)
+
+    def _gone(self, reset: bool) -> None:
+        if not self.over:
+            self.over, self.server = True, None
+            if self.number >= 0:
+                self.node.feed(Left(self.number, reset))
--- /dev/null
+++ b/pointgw/net/run/ends.py
@@ -0,0 +1,29 @@
+"""Ways to end a TCP connection."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+NO_LINGER = struct.pack("ii", 1, 0)
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Ends it so that the other side sees it broken."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
+
+def finish(transport: asyncio.Transport, within: float) -> None:
+    """Ends it in order: what was written arrives, and what the other side still says is read and dropped.
+
+    Closing at once with something unread resets the connection, and the last line may be lost with it.
+    """
+    if transport.is_closing():
+        return
+    transport.resume_reading()
+    transport.write_eof()
+    asyncio.get_running_loop().call_later(within, transport.abort)
--- /dev/null
+++ b/pointgw/net/run/node.py
@@ -0,0 +1,175 @@
+"""One real balancer: feeds events to the reducer, in order, and carries out the effects it asks for."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+from collections import deque
+from itertools import count
+
+import uvloop
+
+from pointgw.net.memory.effects import (
+    Ask,
+    Connect,
+    Drop,
+    Effect,
+    End,
+    Exit,
+    Join,
+    Move,
+    Probe,
+    Reply,
+    StopIn,
+    Wake,
+)
+from pointgw.net.memory.events import Arrived, Event, Stopping, Tick
+from pointgw.net.memory.reducer import Reducer
+from pointgw.net.run.client import ClientSide
+from pointgw.net.run.discovery import DiscoverySide
+from pointgw.net.run.probe import ProbeSide
+from pointgw.net.run.server import ServerSide
+from pointgw.net.sure import broken
+from pointgw.net.wire.lines import Failure
+from pointgw.net.wire.start import Start
+
+BACKLOG = 1024  # clients that may come at once
+LOOK = 0.25  # seconds between two looks for connections that bring nothing back
+REPORT = 10.0  # seconds between two lines of the log on how things stand
+
+_log = logging.getLogger("pointgw.node")
+
+
+class Node:
+    def __init__(self, start: Start, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
+        self.slow_after = min(p.setup_goal for p in start.site.profiles) / 3
+        self.reducer = Reducer(start, self.now())
+        self.sides: set[ClientSide] = set()
+        self.clients: dict[int, ClientSide] = {}
+        self.servers: dict[tuple[int, int], ServerSide] = {}
+        self.probes: dict[str, ProbeSide] = {}
+        self.discovery = DiscoverySide(self, start.discovery, start.names)
+        self.numbers = count()
+        self.queue: deque[Event] = deque()
+        self.feeding = False
+        self.stopping = False
+        self.ended: asyncio.Future[None] = loop.create_future()
+
+    def now(self) -> float:
+        return time.monotonic() + self.shift
+
+    def number(self, side: ClientSide) -> int:
+        number = next(self.numbers)
+        self.clients[number] = side
+        return number
+
+    def forget(self, number: int) -> None:
+        self.clients.pop(number, None)
+
+    async def serve(self, address: tuple[str, int]) -> None:
+        listener = await self.loop.create_server(lambda: ClientSide(self), *address, backlog=BACKLOG)
+        for name in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(name, self.stop)
+        self._carry_out(self.reducer.given())
+        self._look()
+        self._report()
+        _log.info("serving", extra={"fields": {"at": f"{address[0]}:{address[1]}"}})
+        await self.ended
+        listener.close()
+
+    def stop(self) -> None:
+        if not self.stopping:
+            self.stopping = True
+            _log.info("stopping", extra={"fields": {"clients": len(self.clients)}})
+            self.feed(Stopping())
+
+    def feed(self, event: Event) -> None:
+        """What is fed while effects are carried out waits for its turn."""
+        self.queue.append(event)
+        if self.feeding:
+            return
+        self.feeding = True
+        try:
+            while self.queue:
+                self._reduce(self.queue.popleft())
+        finally:
+            self.feeding = False
+
+    def _reduce(self, event: Event) -> None:
+        try:
+            effects = self.reducer.take(event, self.now())
+        except Exception:
+            self._fault("an event is taken", event)
+            effects = self.reducer.given()
+            # Guards rule 1: whatever went wrong, the client gets an answer.
+            if isinstance(event, Arrived) and not any(isinstance(e, Connect | Reply) for e in effects):
+                effects.append(Reply(event.client, Failure()))
+        self._carry_out(effects)
+
+    def _fault(self, what: str, about: object) -> None:
+        broken[what] += 1
+        _log.exception("fault", extra={"fields": {"what": what, "about": type(about).__name__}})
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            try:
+                self._do(effect)
+            except Exception:
+                self._fault("an effect is carried out", effect)
+
+    def _do(self, effect: Effect) -> None:
+        match effect:
+            case Connect():
+                side = self.clients.get(effect.client)
+                if side is not None:
+                    self.servers[effect.client, effect.setup] = ServerSide(self, effect, side)
+            case Drop():
+                server = self.servers.get((effect.client, effect.setup))
+                if server is not None:
+                    server.drop(effect.reset)
+            case Join():
+                self.servers[effect.client, effect.setup].join()
+            case Reply():
+                if effect.client in self.clients:
+                    self.clients[effect.client].answer(effect.answer)
+            case End():
+                if effect.client in self.clients:
+                    self.clients[effect.client].end(effect.reset)
+            case Move():
+                if effect.client in self.clients:
+                    self.clients[effect.client].move()
+                server = self.servers.get((effect.client, effect.setup))
+                if server is not None:
+                    server.drop(False)
+            case Probe():
+                self.probes.setdefault(effect.server, ProbeSide(self)).ask(effect)
+            case Ask():
+                self.discovery.ask(effect)
+            case Wake():
+                self.loop.call_later(effect.delay, self.feed, Tick())
+            case StopIn():
+                self.loop.call_later(effect.delay, self.feed, Stopping())
+            case Exit():
+                if not self.ended.done():
+                    self.ended.set_result(None)
+
+    def _look(self) -> None:
+        now = self.now()
+        for server in list(self.servers.values()):
+            server.look(now)
+        self.loop.call_later(LOOK, self._look)
+
+    def _report(self) -> None:
+        _log.info("state", extra={"fields": self.reducer.figures() | dict(broken)})
+        self.loop.call_later(REPORT, self._report)
+
+
+def run(start: Start) -> None:
+    async def main() -> None:
+        await Node(start, asyncio.get_running_loop()).serve(start.listen)
+
+    uvloop.run(main())
--- /dev/null
+++ b/pointgw/net/wire/lines.py
@@ -0,0 +1,161 @@
+"""The lines that clients, balancers and servers send one another."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pointgw.interface import Ending, Report
+from pointgw.site import Malformed, report
+
+END = b"\r\n"
+LONGEST = 4096  # bytes of a line, its end included
+PING, PONG, STATS, MOVE, ERR = b"PING", b"PONG", b"STATS", b"MOVE", b"ERR"
+ENDINGS: dict[bytes, Ending] = {b"BYE": "ok", b"ERR": "error", b"BUSY": "full", b"MOVE": "cancelled"}
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """The front asks whether this balancer is there."""
+
+
+@dataclass(frozen=True, slots=True)
+class Opening:
+    """A client asks for a tunnel."""
+
+    name: str
+    key: str
+    profile: str
+    tenant: str
+    group: str
+    patience: float | None  # seconds until the client gives up; None: not told
+    back: bool
+    at: str  # the server that has this tunnel already, or nothing
+    before: bytes  # the line as it came, up to the value of `d`
+    after: bytes  # and from there on
+
+
+@dataclass(frozen=True, slots=True)
+class Up:
+    """A server has taken the tunnel. `line` is the client's answer."""
+
+    line: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """A server says that a setup, a tunnel or a probe ends, or how it fared."""
+
+    ending: Ending
+    report: Report
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a tunnel asks of its server now, as work a second."""
+
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class Decline:
+    """The answer to a client that trying again is harmless."""
+
+    come_back: float  # seconds; 0: no advice
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """The answer to a client that promises nothing."""
+
+
+Answer = Decline | Failure
+
+
+def cut(buffer: bytearray) -> bytes | None:
+    """Takes the first whole line off a buffer, without its end; None while there is none."""
+    at = buffer.find(b"\n")
+    if at < 0:
+        if len(buffer) >= LONGEST:
+            raise Malformed(f"expected a line of at most {LONGEST} bytes")
+        return None
+    line = bytes(buffer[:at])
+    del buffer[: at + 1]
+    return line.removesuffix(b"\r")
+
+
+def client_line(line: bytes) -> Ping | Opening:
+    """The first line of a client's connection."""
+    if line == PING:
+        return Ping()
+    word, _, rest = line.partition(b" ")
+    if word != b"OPEN":
+        raise Malformed(f"expected OPEN or PING, got {line[:80]!r}")
+    try:
+        name, key, pairs = rest.decode("ascii").split(" ", 2)
+    except ValueError:
+        raise Malformed(f"expected OPEN ID KEY PAIRS, got {line[:80]!r}") from None
+    fields = dict(pair.partition("=")[::2] for pair in pairs.strip().split(","))
+    patience: float | None = None
+    before, after = line, b""
+    if "d" in fields:
+        try:
+            patience = float(fields["d"]) / 1e3
+        except ValueError:
+            raise Malformed(f"expected d as milliseconds, got {fields['d']!r}") from None
+        start = len(line) - len(pairs) + (0 if pairs.startswith("d=") else pairs.index(",d=") + 1) + 2
+        before, after = line[:start], line[start + len(fields["d"]) :]
+    return Opening(
+        name=name,
+        key="" if key == "-" else key,
+        profile=fields.get("c", ""),
+        tenant=fields.get("t", ""),
+        group=fields.get("g", ""),
+        patience=patience,
+        back=fields.get("again", "0") not in ("", "0"),
+        at=fields.get("at", ""),
+        before=before,
+        after=after,
+    )
+
+
+def opening_line(opening: Opening, patience: float | None) -> bytes:
+    """The line for a server: as it came, but for the time that this balancer will wait."""
+    if opening.patience is None or patience is None:
+        told = b"" if opening.patience is None else b"%d" % round(opening.patience * 1e3)
+    else:
+        told = b"%d" % max(1, int(patience * 1e3))
+    return opening.before + told + opening.after + END
+
+
+def server_line(line: bytes) -> Up | Closing | Load | None:
+    """A line of a server on a tunnel's connection; None: one that is the client's."""
+    word, _, rest = line.partition(b" ")
+    if word == b"UP":
+        return Up(line + END)
+    if word == b"LOAD":
+        try:
+            return Load(float(rest))
+        except ValueError:
+            return None
+    ending = ENDINGS.get(word)
+    return None if ending is None else Closing(ending, _report(rest))
+
+
+def probe_line(line: bytes) -> Closing:
+    """The answer to a probe."""
+    word, _, rest = line.partition(b" ")
+    return Closing("ok" if word == PONG else "error", _report(rest))
+
+
+def answer_line(answer: Answer) -> bytes:
+    if isinstance(answer, Failure):
+        return ERR + END
+    return b"BUSY %d" % round(answer.come_back * 1e3) + END if answer.come_back else b"BUSY" + END
+
+
+def _report(rest: bytes) -> Report:
+    """A report that can't be read is none: its line still says how the setup ended."""
+    try:
+        return report(rest.decode("ascii").strip(), "=")
+    except (Malformed, UnicodeDecodeError):
+        return {}
--- /dev/null
+++ b/pointgw/net/wire/listing.py
@@ -0,0 +1,110 @@
+"""The server list as discovery tells it: JSON over HTTP/1.1."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, Literal
+
+import httptools
+
+from pointgw.interface import Listed
+from pointgw.site import Malformed
+
+PATH = "/registry/instances"
+STATES: dict[str, Literal["active", "leaving", "left"]] = {
+    "up": "active", "draining": "leaving", "removed": "left",
+}  # fmt: skip
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """The deployment's zones and machine kinds, in the order of the settings."""
+
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """The list or what changed of it."""
+
+    index: int
+    whole: bool
+    servers: tuple[Listed, ...]
+    addresses: tuple[tuple[str, str, int], ...]  # a server's name, its host and port
+
+
+def listing(value: Any, names: Names) -> Listing:
+    servers: list[Listed] = []
+    addresses: list[tuple[str, str, int]] = []
+    try:
+        for line in value["endpoints"]:
+            servers.append(
+                Listed(
+                    server=str(line["name"]),
+                    state=STATES[line["status"]],
+                    kind=_place(line.get("type"), names.kinds),
+                    cell=int(line.get("group") or 0),
+                    zone=_place(line.get("zone"), names.zones),
+                    started=float(line.get("since_ms") or 0) / 1e3,
+                    weight=float(line.get("weight", 1.0)),
+                )
+            )
+            if line.get("address"):
+                host, _, port = str(line["address"]).rpartition(":")
+                addresses.append((str(line["name"]), host, int(port)))
+        return Listing(int(value["index"]), bool(value["snapshot"]), tuple(servers), tuple(addresses))
+    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        raise Malformed(f"expected a list of servers: {type(fault).__name__} {fault}") from None
+
+
+def _place(name: object, names: Sequence[str]) -> int:
+    return names.index(name) if isinstance(name, str) and name in names else -1
+
+
+def body(data: bytes, names: Names) -> Listing:
+    try:
+        return listing(json.loads(data), names)
+    except ValueError as fault:
+        raise Malformed(f"expected JSON: {fault}") from None
+
+
+def request(host: str, after: int | None, hold: float) -> bytes:
+    """Asks for the whole list, or for what comes after a version, within so many seconds."""
+    query = "" if after is None else f"?from={after}&hold_ms={round(hold * 1e3)}"
+    return f"GET {PATH}{query} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode()
+
+
+class Response:
+    """Reads one HTTP answer after another; `done` once the current one is whole."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.data = bytearray()
+        self.done = False
+
+    def feed(self, data: bytes) -> None:
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as fault:
+            raise Malformed(f"expected HTTP: {fault}") from None
+
+    def on_message_begin(self) -> None:
+        self.data.clear()
+        self.done = False
+
+    def on_body(self, data: bytes) -> None:
+        self.data += data
+
+    def on_message_complete(self) -> None:
+        self.done = True
+
+    @property
+    def status(self) -> int:
+        return self.parser.get_status_code()
+
+    @property
+    def keeps_alive(self) -> bool:
+        return self.parser.should_keep_alive()
--- /dev/null
+++ b/pointgw/net/wire/start.py
@@ -0,0 +1,77 @@
+"""What a balancer is told at its start: JSON."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from pointgw.interface import Site
+from pointgw.net.wire.listing import Listing, Names, listing
+from pointgw.site import Fields, Malformed, seconds, site
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    site: Site
+    names: Names
+    profiles: tuple[str, ...]
+    tenants: tuple[str, ...]
+    connect_within: float
+    idle: float  # seconds after which a server may end a connection that carries nothing
+    known: Listing
+
+
+def flat(value: Any, path: str = "") -> Fields:
+    """Nested JSON as the fields that `site` reads: lists of plain values joined, objects counted."""
+    if isinstance(value, dict):
+        fields: Fields = {}
+        for name, inner in value.items():
+            fields |= flat(inner, f"{path}.{name}" if path else name)
+        return fields
+    if isinstance(value, list) and value and all(isinstance(item, dict) for item in value):
+        fields = {f"{path}.count": str(len(value))}
+        for i, item in enumerate(value):
+            fields |= flat(item, f"{path}.{i}")
+        return fields
+    if isinstance(value, list):
+        return {path: ",".join(str(item) for item in value)}
+    if value is None:
+        return {path: "null"}
+    return {path: str(value).lower() if isinstance(value, bool) else str(value)}
+
+
+def start(data: bytes) -> Start:
+    try:
+        told = json.loads(data)
+        settings = told["settings"]
+        names = Names(_names(settings.get("zones")), _names(settings.get("kinds")))
+        fields = flat(settings)
+        return Start(
+            name=str(told["name"]),
+            listen=_address(told["listen"]),
+            discovery=_address(told["discovery"]),
+            seed=int(str(told["seed"]), 16),
+            site=site(fields),
+            names=names,
+            profiles=_names(settings.get("profiles")),
+            tenants=_names(settings.get("tenants")),
+            connect_within=seconds(fields, "limits.connectTimeout", 0.25),
+            idle=seconds(fields, "limits.connIdle", 15.0),
+            known=listing(told["known"], names),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        raise Malformed(f"expected the start-up JSON: {type(fault).__name__} {fault}") from None
+
+
+def _names(items: Any) -> tuple[str, ...]:
+    return tuple(str(item["name"] if isinstance(item, dict) else item) for item in items or ())
+
+
+def _address(value: str) -> tuple[str, int]:
+    host, _, port = value.rpartition(":")
+    return host, int(port)
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -2,10 +2,10 @@
 
 How to call it: build a `pointgw.interface.Site`, then `Balancer(site, host, random.Random(seed), now)`;
 hand in the list with `listed`, make each tunnel with `tunnel` and report it with `arrived` (or
-`inherited`), then report what happens to it: `opened`, `ended`, `left`, `load_noted`, `delay_noted`.
-`probed`, `list_failed` and `tick` (asked for by `Host.timer`) are the rest. All times are seconds of the
-host's clock, which is passed with each call. The actions asked for, the settings and the words for
-endings are defined in `pointgw/interface.py`. docs/design.md tells why.
+`inherited`), then report what happens to it: `opened`, `ended`, `left`, `load_noted`, `delay_noted`,
+`silent`. `probed`, `list_failed` and `tick` (asked for by `Host.timer`) are the rest. All times are
+seconds of the host's clock, which is passed with each call. The actions asked for, the settings and the
+words for endings are defined in `pointgw/interface.py`. docs/design.md tells why.
 
 The ordinary path is SRLB's: `_draw` two ready servers, `_offer` the tunnel to the first against the
 threshold c, which `_steer` keeps where half of the first offers are accepted (SR_dyn).
@@ -48,6 +48,7 @@
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
+SILENT = 8  # setup goals without an answer after which an open tunnel's server is taken to be gone
 
 
 def _mark(name: str) -> int:
@@ -620,6 +621,13 @@
             ep = tun.setups[-1].ep
             ep.probe_due = min(ep.probe_due, max(now, ep.heard_at + self.goal))
 
+    def silent(self, tun: Tunnel, span: float, now: float) -> None:
+        """Guards against a machine that vanishes: its connections stay open and bring nothing back."""
+        if tun.state is State.OPEN and span >= SILENT * self.goal:
+            self._struck(tun.setups[-1].ep, now)
+            tun.to(State.ENDED)
+            self.host.move(tun)
+
     # Health.
 
     def _struck(self, ep: Server, now: float) -> None:
--- /dev/null
+++ b/pointgw/site.py
@@ -0,0 +1,144 @@
+"""The settings of a deployment to a `Site`, and the checked reading of fields. Both hosts use it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import TypeVar, cast
+
+from pointgw.interface import Group, Profile, Report, Semantics, Site
+
+Fields = dict[str, str]
+T = TypeVar("T")
+
+REPORT_WORDS = {
+    "rif": "connections", "x0": "load", "x1": "backlog", "q": "waiting", "busy": "util", "rate": "rate",
+    "lat_ms": "delay", "fail_rate": "errors", "inflight": "connections", "queue": "waiting", "util": "util",
+    "qps": "rate", "latency_ms": "delay", "eps": "errors",
+}  # fmt: skip
+IN_MS = ("lat_ms", "latency_ms")
+SEMANTICS: dict[str, Semantics] = {
+    "pure": "repeatable", "token": "referenced", "side_effect": "once-only",
+    "safe": "repeatable", "keyed": "referenced", "unsafe": "once-only",
+}  # fmt: skip
+GROUPS: dict[str, Group] = {"all": "all", "zone": "zone", "cell": "cell"}
+MODES = {"subscribe": True, "automatic": False, "ask": True, "push": False}
+FLAGS = {"true": True, "false": False, "1": True, "0": False}
+
+
+class Malformed(Exception):
+    """Something said to us that its protocol does not allow; its text says what was expected."""
+
+
+def wanted(name: str, value: object, what: str) -> Malformed:
+    return Malformed(f"expected {name} as {what}, got {'nothing' if value is None else repr(value)}")
+
+
+def text(fields: Fields, name: str) -> str:
+    value = fields.get(name)
+    if not value:
+        raise wanted(name, value, "a word")
+    return value
+
+
+def whole(fields: Fields, name: str, default: int | None = None) -> int:
+    value = fields.get(name)
+    if value is None and default is not None:
+        return default
+    try:
+        return int(cast(str, value))
+    except (TypeError, ValueError):
+        raise wanted(name, value, "a whole number") from None
+
+
+def number(fields: Fields, name: str, default: float | None = None) -> float:
+    value = fields.get(name)
+    if value is None and default is not None:
+        return default
+    try:
+        figure = float(cast(str, value))
+    except (TypeError, ValueError):
+        figure = math.nan
+    if not math.isfinite(figure):
+        raise wanted(name, value, "a number")
+    return figure
+
+
+def seconds(fields: Fields, name: str, default: float | None = None) -> float:
+    """A time in milliseconds on the wire, in seconds here."""
+    return number(fields, name, None if default is None else default * 1e3) / 1e3
+
+
+def choice(fields: Fields, name: str, words: dict[str, T], default: T | None = None) -> T:
+    value = fields.get(name)
+    if value is None and default is not None:
+        return default
+    if value not in words:
+        raise wanted(name, value, "one of " + ", ".join(words))
+    return words[value]
+
+
+def flag(fields: Fields, name: str, default: bool | None = False) -> bool:
+    return choice(fields, name, FLAGS, default)
+
+
+def report(pairs: str, sign: str) -> Report:
+    """A load report in our words; values that are not known here are skipped."""
+    figures: Report = {}
+    for pair in pairs.split(",") if pairs and pairs != "-" else ():
+        name, found, value = pair.partition(sign)
+        try:
+            figure = float(value)
+        except ValueError:
+            found = ""
+        if not found or not math.isfinite(figure):
+            raise wanted("a load report", pair, f"name{sign}number pairs")
+        if name in REPORT_WORDS:
+            figures[REPORT_WORDS[name]] = figure / 1e3 if name in IN_MS else figure
+    return figures
+
+
+def _list(conf: Fields, name: str, convert: Callable[[str], T]) -> tuple[T, ...]:
+    value = conf.get(name, "")
+    try:
+        return tuple(convert(item) for item in value.split(",") if item)
+    except ValueError:
+        raise wanted(name, value, "a list") from None
+
+
+def site(settings: Fields) -> Site:
+    """The settings of one balancer. Keys not known here are skipped; null is an absent value.
+
+    What is absent is taken as what binds most: once-only tunnels, a list that must be asked, slow starts.
+    """
+    conf = {name: value for name, value in settings.items() if value != "null"}
+    profiles = tuple(
+        Profile(
+            semantics=choice(conf, f"profiles.{i}.semantics", SEMANTICS, SEMANTICS["side_effect"]),
+            group=choice(conf, f"profiles.{i}.group", GROUPS, GROUPS["cell"]),
+            window=seconds(conf, f"profiles.{i}.dedupWindow", 0.0),
+            setup_goal=seconds(conf, f"profiles.{i}.setupGoal", 0.5),
+            client_timeout=seconds(conf, f"profiles.{i}.clientTimeout", 3.0),
+            credit=number(conf, f"profiles.{i}.credit", 1.0),
+        )
+        for i in range(max(1, whole(conf, "profiles.count", 1)))
+    )
+    advice = flag(conf, "limits.retryAfter", False)
+    return Site(
+        balancers=max(1, whole(conf, "instances", 1)),
+        zone=whole(conf, "zone", 0),
+        profiles=profiles,
+        asks=choice(conf, "membershipMode", MODES, MODES["subscribe"]),
+        ask_every=seconds(conf, "rules.askEvery", 10.0),
+        fields=tuple(REPORT_WORDS.get(name, name) for name in _list(conf, "report.fields", str)),
+        max_setups=whole(conf, "limits.maxSetups", 1),
+        may_probe=flag(conf, "limits.probes", False),
+        may_call_off=flag(conf, "limits.mayCancel", False),
+        come_back=seconds(conf, "limits.maxRetryAfter", 0.0) if advice else 0.0,
+        grain=seconds(conf, "quantum", 0.0),
+        cold_share=number(conf, "rules.coldFrom", 0.1),
+        cold_time=seconds(conf, "rules.cold", 30.0),
+        tip_multiple=number(conf, "rules.tipMultiple", 1.0),
+        tip_span=seconds(conf, "rules.fall", 1.0),
+        probe_price=number(conf, "prices.probe", 0.0),
+    )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,18 +41,6 @@
     def timer(self, delay: float) -> None:
         pass
 
-    def fetch(self) -> None:
-        self.asked.append(("fetch",))
-
-    def close_idle(self, ep: Server) -> None:
-        self.asked.append(("close_idle", ep))
-
-    def tell(self, data: bytes) -> None:
-        self.asked.append(("tell", data))
-
-    def log(self, text: str) -> None:
-        self.asked.append(("log", text))
-
     def words(self) -> list[str]:
         return [asked[0] for asked in self.asked]
 
