--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -77,7 +77,7 @@
         self._carry_out(self.reducer.given())
         self._look()
         self._report()
-        _log.info("serving", extra={"fields": {"at": f"{address[0]}:{address[1]}"}})
+        _log.info("serving", extra={"fields": {"on": f"{address[0]}:{address[1]}"}})
         await self.ended
         listener.close()
 
