--- a/pointgw/__main__.py
+++ b/pointgw/__main__.py
@@ -13,7 +13,7 @@
 
 
 def main() -> int:
-    log.begin()
+    log.begin(os.environ.get("POINTGW_LOG", "info").upper())
     path = os.environ.get("GW_CONFIG")
     if not path:
         print("pointgw: expected GW_CONFIG to name the start-up file", file=sys.stderr)
--- a/pointgw/net/run/log.py
+++ b/pointgw/net/run/log.py
@@ -29,7 +29,7 @@
         return '"' + text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n") + '"'
 
 
-def begin(level: int = logging.INFO) -> None:
+def begin(level: str) -> None:
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValue())
     logging.basicConfig(level=level, handlers=[handler], force=True)
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -40,6 +40,7 @@
 REPORT = 10.0  # seconds between two lines of the log on how things stand
 
 _log = logging.getLogger("pointgw.node")
+_trace = logging.getLogger("pointgw.trace")  # every event and its effects, for debug runs
 
 
 class Node:
@@ -108,6 +109,8 @@
             # Guards rule 1: whatever went wrong, the client gets an answer.
             if isinstance(event, Arrived) and not any(isinstance(e, Connect | Reply) for e in effects):
                 effects.append(Reply(event.client, Failure()))
+        if _trace.isEnabledFor(logging.DEBUG):
+            _trace.debug("step", extra={"fields": {"took": event, "asks": effects}})
         self._carry_out(effects)
 
     def _fault(self, what: str, about: object) -> None:
