--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -51,7 +51,8 @@
 STANDING = 40.0  # seconds in which such a tunnel must be up
 ARRIVE_ON = 0.5  # seconds after the signal to stop in which new connections still come
 STEP = 0.1  # seconds between two rounds of moves while stopping
-LAST = 0.3  # seconds that the last moves have before the process may be killed
+LAST = 0.3  # seconds that the last moves have to arrive
+SPARE = 0.1  # seconds that are left for the end of the process
 KILL_AFTER, LONGEST = 0.7, 3.0  # it is killed that long after the longest client timeout, at most this
 
 
@@ -76,17 +77,18 @@
         self.clients: dict[int, Client] = {}
         self.of: dict[Tunnel, Client] = {}
         self.addresses: dict[str, Address] = {}
-        self.index: int | None = None
+        self.index = start.known.index
         self.asking = False
         self.wake_at = inf
         self.now = now
         self.stop_at = inf  # when the signal to stop came
+        self.moved_at = -inf  # when tunnels were last moved off since
         self.profiles = {name: i for i, name in enumerate(start.profiles)}
         self.tenants = {name: i for i, name in enumerate(start.tenants)}
         self.connect_within = start.connect_within
         self.hold = HOLD * start.site.ask_every
         longest = max(p.client_timeout for p in start.site.profiles)
-        self.stop_within = min(longest, LONGEST) + KILL_AFTER - LAST
+        self.stop_within = min(longest, LONGEST) + KILL_AFTER - SPARE
         self.probe_within = min(p.setup_goal for p in start.site.profiles) / 2
         self.balancer = Balancer(start.site, self, Random(start.seed), now)
         self._list(start.known, True)
@@ -220,8 +222,6 @@
                 self.balancer.left(tun, self.now)
                 self._answer(client, Failure())
             return
-        if not must(event.setup < len(tun.setups) and tun.setups[event.setup].out, "a setup ends once"):
-            return
         was_open = tun.state is State.OPEN
         if was_open:
             self.effects.append(End(client.number, event.reset))
@@ -229,7 +229,9 @@
 
     def _over(self, tun: Tunnel, number: int, ending: Ending, closed: bool, report: Report) -> None:
         client = self.of.get(tun)
-        if client is None or not must(tun.setups[number].out, "a setup ends once"):
+        if client is None:
+            return
+        if not must(number < len(tun.setups) and tun.setups[number].out, "a setup ends once"):
             return
         self.balancer.ended(tun, number, ending, closed, report, self.now)
         self._forget_done(client)
@@ -246,14 +248,13 @@
     # The list and the clock.
 
     def _told(self, event: Told) -> None:
-        self.asking = False
+        self.asking, self.index = False, event.listing.index
+        self._ask(self.hold)  # first, so that the watch goes on whatever the list holds
         self._list(event.listing, False)
-        self._ask(self.hold)
 
     def _list(self, listing: Listing, cached: bool) -> None:
         for name, host, port in listing.addresses:
             self.addresses[name] = (host, port)
-        self.index = listing.index
         self.balancer.listed(listing.servers, listing.whole, cached, self.now)
 
     def _ask(self, hold: float) -> None:
@@ -270,21 +271,32 @@
         self.balancer.tick(self.now)
 
     def _stopping(self) -> None:
-        """Moves all tunnels off, a few at a time, once no new connections come."""
+        """Moves all tunnels off, a few at a time, once no new connections come; then answers the rest."""
         self.stop_at = min(self.stop_at, self.now)
-        since = self.now - self.stop_at
-        left = self.stop_within - since
-        if since >= ARRIVE_ON:
-            standing = [c for c in self.clients.values() if c.tun.state is State.OPEN]
-            if left <= 0 or not self.clients:
-                self.effects.append(Exit())
-                return
+        left = self.stop_at + self.stop_within - self.now
+        quiet = self.now >= max(self.stop_at + ARRIVE_ON, self.moved_at) + LAST
+        if left <= 0 or (quiet and not self.clients):
+            self.effects.append(Exit())
+            return
+        if self.now >= self.stop_at + ARRIVE_ON:
             rounds = max(1, int((left - LAST) / STEP))
+            standing = [c for c in self.clients.values() if c.tun.state is State.OPEN]
             for client in standing[: ceil(len(standing) / rounds)]:
                 self.balancer.left(client.tun, self.now)
                 self.move(client.tun)
+                self.moved_at = self.now
+            if rounds == 1:
+                for client in [c for c in self.clients.values() if c.tun.state is not State.OPEN]:
+                    self._turn_away(client)
         self.effects.append(StopIn(STEP))
 
+    def _turn_away(self, client: Client) -> None:
+        """The final answer of a tunnel that this balancer has no time left for."""
+        harmless = self.balancer.may_decline(client.tun)
+        self.balancer.left(client.tun, self.now)
+        if not client.answered:
+            self._answer(client, Decline(0.0) if harmless else Failure())
+
     # What the module asks for (`pointgw.interface.Host`).
 
     def setup(self, tun: Tunnel, ep: Server, patience: float) -> None:
--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -44,7 +44,7 @@
             if self.number < 0:
                 self._first_lines()
             elif len(self.buffer) > FULL_BUFFER:
-                self.transport.pause_reading()
+                ends.pause(self.transport)
 
     def _first_lines(self) -> None:
         try:
@@ -64,8 +64,7 @@
 
     def answer(self, answer: lines.Answer) -> None:
         """The final answer to a client that was not opened."""
-        self.transport.write(lines.answer_line(answer))
-        self.end()
+        self._last(lines.answer_line(answer))
 
     def join(self, server: ServerSide, first: bytes) -> None:
         self.transport.write(first)
@@ -73,14 +72,20 @@
         if self.buffer:
             server.pass_on(bytes(self.buffer))
             self.buffer.clear()
-        self.transport.resume_reading()
+        ends.resume(self.transport)
 
     def move(self) -> None:
         """Only whole lines were written, so this stands between two."""
-        self.transport.write(lines.MOVE + lines.END)
-        self.end()
+        self._last(lines.MOVE + lines.END)
+
+    def _last(self, line: bytes) -> None:
+        if not self.over:
+            self.transport.write(line)
+            self.end()
 
     def end(self, reset: bool = False) -> None:
+        if self.over:
+            return
         self.over, self.server = True, None
         if reset:
             ends.reset(self.transport)
@@ -88,12 +93,12 @@
             ends.finish(self.transport, LINGER)
 
     def pause_writing(self) -> None:
-        if self.server is not None and self.server.transport is not None:
-            self.server.transport.pause_reading()
+        if self.server is not None:
+            self.server.hold_back()
 
     def resume_writing(self) -> None:
-        if self.server is not None and self.server.transport is not None:
-            self.server.transport.resume_reading()
+        if self.server is not None:
+            self.server.go_on()
 
     def eof_received(self) -> None:
         self._gone(False)
--- a/pointgw/net/run/ends.py
+++ b/pointgw/net/run/ends.py
@@ -17,6 +17,16 @@
     transport.abort()
 
 
+def pause(transport: asyncio.Transport | None) -> None:
+    if transport is not None and not transport.is_closing():
+        transport.pause_reading()
+
+
+def resume(transport: asyncio.Transport | None) -> None:
+    if transport is not None and not transport.is_closing():
+        transport.resume_reading()
+
+
 def finish(transport: asyncio.Transport, within: float) -> None:
     """Ends it in order: what was written arrives, and what the other side still says is read and dropped.
 
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -113,6 +113,14 @@
             if self.waits_since is None:
                 self.waits_since = self.node.now()
 
+    def hold_back(self) -> None:
+        """Its client is slow to read: not read itself meanwhile, and not taken to be silent."""
+        self.waits_since = None
+        ends.pause(self.transport)
+
+    def go_on(self) -> None:
+        ends.resume(self.transport)
+
     def look(self, now: float) -> None:
         """By the clock: a server that has brought nothing back for long may be gone."""
         if self.waits_since is not None and now - self.waits_since > self.node.slow_after:
@@ -149,10 +157,10 @@
         self.node.feed(Ended(self.asked.client, self.asked.setup, closing, reset))
 
     def pause_writing(self) -> None:
-        self.client.transport.pause_reading()
+        ends.pause(self.client.transport)
 
     def resume_writing(self) -> None:
-        self.client.transport.resume_reading()
+        ends.resume(self.client.transport)
 
     def eof_received(self) -> None:
         self._end("reset" if self.sent else "no-connection")
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -355,7 +355,7 @@
         return same and now < first.sent_at + tun.profile.window
 
     @staticmethod
-    def _may_decline(tun: Tunnel) -> bool:
+    def may_decline(tun: Tunnel) -> bool:
         """Rule 2: a decline says that another try is harmless."""
         return Balancer._free(tun) or (tun.profile.semantics == "referenced" and tun.profile.group == "all")
 
@@ -551,7 +551,7 @@
         """The final answer of a tunnel that was given up."""
         self.held.pop(tun, None)
         tun.to(State.ENDED)
-        if self._may_decline(tun) and now < tun.deadline + self.margin:
+        if self.may_decline(tun) and now < tun.deadline + self.margin:
             self.host.decline(tun, min(self.come_back, 2 * tun.profile.setup_goal))
         else:
             self.host.close_with_error(tun)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -285,9 +285,9 @@
 def test_declined_only_where_another_try_is_harmless(profile: Profile, may: bool) -> None:
     bal, _, servers = balancer([0.1], profiles=(profile,))
     tun = tunnel(bal)
-    assert bal._may_decline(tun)
+    assert bal.may_decline(tun)
     tun.setups.append(Setup(servers[0], 100.0))
-    assert bal._may_decline(tun) is may
+    assert bal.may_decline(tun) is may
 
 
 @pytest.mark.parametrize("state", ["leaving", "left"])
--- /dev/null
+++ b/tests/test_reducer.py
@@ -0,0 +1,194 @@
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+from helpers import REPEATABLE, site
+
+from pointgw.interface import Listed
+from pointgw.net.memory import effects as fx
+from pointgw.net.memory import events as ev
+from pointgw.net.memory.reducer import ARRIVE_ON, STANDING, Reducer
+from pointgw.net.wire.lines import Closing, Decline, Failure, Load, Opening
+from pointgw.net.wire.listing import Listing, Names
+from pointgw.net.wire.start import Start
+
+
+def reducer(**changes: Any) -> Reducer:
+    """At time 100, with two servers and no probes unless asked for; its first effects are read."""
+    lines = tuple(Listed(f"s{i}", "active", 0, i, 0, 0.0, 1.0) for i in range(2))
+    known = Listing(7, True, lines, tuple((f"s{i}", "127.0.0.9", 9000 + i) for i in range(2)))
+    told = Start(
+        "n0", ("127.0.0.1", 1), ("127.0.0.1", 2), 5, site(**({"may_probe": False, "asks": True} | changes)),
+        Names(("a",), ("k",)), ("chat",), ("acme",), 0.12, 30.0, known,
+    )  # fmt: skip
+    red = Reducer(told, 100.0)
+    red.given()
+    return red
+
+
+def opening(at: str = "", patience: float | None = 3.0) -> Opening:
+    return Opening("id", "key", "chat", "acme", "", patience, False, at, b"OPEN", b"")
+
+
+def arrive(red: Reducer, client: int = 1, now: float = 100.0, at: str = "") -> list[fx.Effect]:
+    return red.take(ev.Arrived(client, opening(at)), now)
+
+
+def opened(red: Reducer, client: int = 1) -> None:
+    arrive(red, client)
+    assert red.take(ev.Opened(client, 0), 100.1) == [fx.Join(client, 0)]
+
+
+def test_an_arrival_is_set_up_within_its_setup_goal() -> None:
+    (connect,) = arrive(reducer())
+    assert isinstance(connect, fx.Connect)
+    assert (connect.client, connect.setup, connect.patience, connect.within) == (1, 0, 0.5, 0.5)
+    assert connect.connect_within == 0.12
+
+
+def test_a_setup_that_fails_is_made_elsewhere() -> None:
+    red = reducer()
+    (first,) = arrive(red)
+    (second,) = red.take(ev.Ended(1, 0, Closing("no-connection", {}), False), 100.2)
+    assert isinstance(first, fx.Connect) and isinstance(second, fx.Connect)
+    assert second.setup == 1 and second.address != first.address
+
+
+def test_a_once_only_tunnel_that_may_have_run_is_closed_with_error() -> None:
+    # Guards rule 2 on sockets: a reset after the line's last byte may have run.
+    red = reducer(profiles=(REPEATABLE.__class__("once-only", "all", 5.0, 0.5, 3.0, 1.0),))
+    arrive(red)
+    assert red.take(ev.Ended(1, 0, Closing("reset", {}), True), 100.2) == [fx.Reply(1, Failure())]
+    assert not red.clients and not red.of
+
+
+def test_one_that_leaves_before_its_answer_is_called_off_at_once() -> None:
+    red = reducer()
+    arrive(red)
+    assert red.take(ev.Left(1, False), 100.1) == [fx.Drop(1, 0)]
+    assert not red.clients
+    # Guards against a server's answer that crossed the client's end.
+    assert red.take(ev.Opened(1, 0), 100.2) == [fx.Drop(1, 0)]
+
+
+def test_one_that_is_held_gets_one_answer_before_its_client_gives_up() -> None:
+    red = reducer()
+    red.take(ev.Told(Listing(8, True, (), ())), 100.0)
+    arrive(red)
+    answers: list[fx.Effect] = []
+    for i in range(40):
+        answers += [e for e in red.take(ev.Tick(), 100.1 + i * 0.1) if isinstance(e, fx.Reply)]
+    assert answers == [fx.Reply(1, Decline(1.0))] and not red.clients
+
+
+def test_an_open_tunnel_ends_as_its_server_ends_it() -> None:
+    red = reducer()
+    opened(red)
+    assert red.take(ev.Ended(1, 0, Closing("reset", {}), True), 101.0) == [fx.End(1, True)]
+    assert not red.clients and red.take(ev.Left(1, False), 101.1) == []
+
+
+def test_an_open_tunnel_ends_as_its_client_ends_it() -> None:
+    red = reducer()
+    opened(red)
+    assert red.take(ev.Left(1, True), 101.0) == [fx.Drop(1, 0, True)]
+    assert not red.clients and not any(ep.tunnels for ep in red.balancer.servers.values())
+
+
+def test_a_silent_server_loses_its_tunnels() -> None:
+    # Guards against machines that vanish: their connections stay open and bring nothing back.
+    red = reducer()
+    opened(red)
+    assert red.take(ev.Slow(1, 3.9, True), 104.0) == []
+    assert red.take(ev.Slow(1, 4.1, True), 104.2) == [fx.Move(1, 0)]
+    assert not red.clients
+
+
+def test_a_tunnel_that_stood_before_the_run_goes_to_its_server() -> None:
+    red = reducer()
+    (connect,) = arrive(red, at="s1")
+    assert isinstance(connect, fx.Connect)
+    assert connect.address == ("127.0.0.9", 9001) and connect.patience is None
+    (again,) = red.take(ev.Ended(1, 0, Closing("no-connection", {}), False), 101.0)
+    assert isinstance(again, fx.Connect) and again.after > 0
+    assert red.take(ev.Opened(1, 0), 102.0) == [fx.Join(1, 0)]
+    assert list(red.balancer.servers["s1"].tunnels) == [red.clients[1].tun]
+    arrive(red, 2, at="s1")
+    assert red.take(ev.Ended(2, 0, Closing("full", {}), False), 101 + STANDING) == [fx.Reply(2, Failure())]
+
+
+@pytest.mark.parametrize(
+    "line", [opening(at="s9"), Opening("id", "key", "other", "acme", "", 3.0, False, "", b"OPEN", b"")]
+)
+def test_what_names_nothing_known_is_closed_with_error(line: Opening) -> None:
+    assert reducer().take(ev.Arrived(1, line), 100.0) == [fx.Reply(1, Failure())]
+
+
+def test_the_watch_goes_on_after_each_answer_and_one_call_is_out_at_a_time() -> None:
+    red = reducer()
+    red.watch()  # the call at the start is still out
+    assert red.given() == []
+    asked = red.take(ev.Told(Listing(9, False, (), ())), 100.5)
+    assert asked == [fx.Ask(9, red.hold)]
+    red.take(ev.ListFailed(), 101.0)
+    again = [e for i in range(30) for e in red.take(ev.Tick(), 101 + i * 0.2) if isinstance(e, fx.Ask)]
+    assert again == [fx.Ask(9, 0.0)]
+
+
+def test_a_list_that_the_module_cannot_take_does_not_end_the_watch() -> None:
+    red = reducer()
+    bad = Listing(9, False, (None,), ())  # type: ignore[arg-type]
+    with pytest.raises(AttributeError):
+        red.take(ev.Told(bad), 100.5)
+    assert red.given() == [fx.Ask(9, red.hold)]
+
+
+def test_a_timer_that_comes_early_is_set_again() -> None:
+    # Guards against a loop whose clock is coarser than ours: a lost tick would stop all that is timed.
+    red = reducer()
+    due = red.wake_at
+    (wake,) = red.take(ev.Tick(), due - 0.001)
+    assert isinstance(wake, fx.Wake) and wake.delay == pytest.approx(0.001)
+    red.take(ev.Tick(), due)
+    assert red.wake_at > due
+
+
+def test_loads_and_probes_reach_the_module() -> None:
+    red = reducer(may_probe=True)
+    asked = arrive(red)
+    assert isinstance(asked[0], fx.Probe)
+    got = red.take(ev.Probed(asked[0].server, "ok", {"load": 0.2}), 100.1)
+    assert isinstance(got[0], fx.Probe | fx.Connect)
+    red.take(ev.Weighed(1, Load(5e4)), 100.2)
+    assert red.clients[1].tun.load == pytest.approx(0.05)
+    red.take(ev.Probed("s1", "ok", {"load": 0.3}), 100.3)
+    assert red.balancer.servers["s1"].full_load == 0.3
+
+
+def test_a_planned_stop_moves_all_tunnels_before_the_process_may_be_killed() -> None:
+    red = reducer()
+    for client in range(7):
+        opened(red, client)
+    now, moved, late = 100.2, 0, None
+    red.take(ev.Stopping(), now)
+    for _ in range(60):
+        now += 0.1
+        got = red.take(ev.Stopping(), now)
+        moves = sum(isinstance(e, fx.Move) for e in got)
+        assert not moves or now - 100.2 >= ARRIVE_ON - 0.01  # those that still come might be sent back here
+        moved += moves
+        if moved and late is None:
+            late = red.take(ev.Arrived(99, opening()), now)
+        if any(isinstance(e, fx.Exit) for e in got):
+            break
+    assert moved == 7 and late == [fx.Reply(99, Decline(0.0))]
+    assert now - 100.2 < 3.0 + 0.7
+
+
+def test_a_stop_answers_what_is_still_being_set_up() -> None:
+    red = reducer()
+    arrive(red)
+    got = [e for i in range(60) for e in red.take(ev.Stopping(), 100.0 + i * 0.1)]
+    assert [e for e in got if isinstance(e, fx.Drop | fx.Reply)] == [fx.Drop(1, 0), fx.Reply(1, Decline(0.0))]
+    assert red.clients == {} and any(isinstance(e, fx.Exit) for e in got)
--- /dev/null
+++ b/tests/test_run.py
@@ -0,0 +1,254 @@
+"""The sockets' side against a stand-in for servers and discovery, on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+import pytest
+import uvloop
+
+from pointgw.net.run.log import KeyValue
+from pointgw.net.run.node import Node
+from pointgw.net.wire.start import start
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+OPEN = b"OPEN 9b1f 7f3a c=chat,t=acme,d=1500,g=5c0f\r\n"
+
+
+class StandIn:
+    """A server and discovery; `play` is what the server does with a tunnel once its first line came."""
+
+    def __init__(self, play: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]) -> None:
+        self.play = play
+        self.lines: list[bytes] = []
+        self.probes = self.calls = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError):
+            while line := await reader.readline():
+                if line == b"STATS\r\n":
+                    self.probes += 1
+                    writer.write(b"PONG util=0.2,qps=1,x0=0.2\r\n")
+                else:
+                    self.lines.append(line)
+                    await self.play(reader, writer)
+                    break
+        writer.close()
+
+    async def discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                self.calls += 1
+                await asyncio.sleep(30.0 if b"hold_ms=20000" in head else 0.0)
+                data = b'{"index":1,"snapshot":false,"endpoints":[]}'
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(data), data))
+
+
+async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"UP r-1\r\nLOAD 500\r\n")
+    while line := await reader.readline():
+        writer.write(line)
+
+
+def told(servers: int, discovery: int, listen: int) -> bytes:
+    endpoint = {
+        "name": "s-1", "address": f"127.0.0.1:{servers}", "zone": "a", "type": "m", "group": 0,
+        "status": "up", "weight": 1.0, "since_ms": 0,
+    }  # fmt: skip
+    profile = {"name": "chat", "semantics": "pure", "setupGoal": 200.0, "clientTimeout": 1500.0}
+    settings = {
+        "zones": ["a"], "kinds": ["m"], "profiles": [profile], "tenants": [{"name": "acme"}],
+        "membershipMode": "subscribe", "report": {"fields": ["busy", "rate", "x0"]},
+        "prices": {"probe": 0.005},
+        "limits": {"maxSetups": 3, "probes": True, "mayCancel": True, "connectTimeout": 120.0},
+        "rules": {"askEvery": 10000.0},
+    }  # fmt: skip
+    known = {"index": 1, "snapshot": True, "endpoints": [endpoint]}
+    addresses = {"listen": f"127.0.0.1:{listen}", "discovery": f"127.0.0.1:{discovery}"}
+    start_up = {"name": "n0", "seed": "8c1f", "known": known, "settings": settings}
+    return json.dumps(start_up | addresses).encode()
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def with_node(
+    play: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
+    scene: Callable[[Node, StandIn, Callable[[], Awaitable[Streams]]], Awaitable[None]],
+) -> None:
+    async def main() -> None:
+        stand_in = StandIn(play)
+        servers = await asyncio.start_server(stand_in.serve, "127.0.0.1", 0)
+        discovery = await asyncio.start_server(stand_in.discover, "127.0.0.1", 0)
+        listen = free_port()
+        ports = [server.sockets[0].getsockname()[1] for server in (servers, discovery)]
+        node = Node(start(told(ports[0], ports[1], listen)), asyncio.get_running_loop())
+        serving = asyncio.create_task(node.serve(("127.0.0.1", listen)))
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(10):
+            await scene(node, stand_in, lambda: asyncio.open_connection("127.0.0.1", listen))
+        if not node.ended.done():
+            node.ended.set_result(None)
+        await serving
+
+    uvloop.run(main())
+
+
+async def opened(client: Callable[[], Awaitable[Streams]]) -> Streams:
+    reader, writer = await client()
+    writer.write(OPEN)
+    assert await reader.readline() == b"UP r-1\r\n"
+    assert await reader.readline() == b"LOAD 500\r\n"
+    return reader, writer
+
+
+def test_lines_pass_both_ways_and_the_clients_end_reaches_the_server() -> None:
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, writer = await client()
+        writer.write(b"PING\r\n")
+        assert await reader.readline() == b"PONG\r\n"
+        reader, writer = await opened(client)
+        writer.write(b"hel")
+        await asyncio.sleep(0.05)
+        writer.write(b"lo\r\n")
+        assert await reader.readline() == b"hello\r\n"
+        assert next(iter(node.reducer.clients.values())).tun.load == pytest.approx(500 / 1e6)
+        assert there.lines[0].startswith(OPEN[:31]) and b"d=1500" not in there.lines[0]
+        assert there.calls == 2 and there.probes >= 1
+        writer.close()
+        await asyncio.sleep(0.1)
+        assert not node.servers and not node.clients and not node.reducer.clients
+
+    with_node(echo, scene)
+
+
+def test_much_data_is_held_back_for_a_slow_reader_and_none_is_lost() -> None:
+    lines = b"".join(b"%08d" % i + b"x" * 990 + b"\r\n" for i in range(20000))
+
+    async def flood(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP r-1\r\nLOAD 500\r\n" + lines + b"BYE\r\n")
+        await writer.drain()
+
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, _ = await opened(client)
+        await asyncio.sleep(0.3)
+        (side,) = node.clients.values()
+        # Guards the memory limit: the server is not read while its client does not read.
+        assert side.transport.get_write_buffer_size() < 1_000_000
+        assert await reader.read(-1) == lines + b"BYE\r\n"
+
+    with_node(flood, scene)
+
+
+def test_a_move_stands_between_two_lines_and_ends_both_sides() -> None:
+    gone = asyncio.Event()
+
+    async def half(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP r-1\r\nLOAD 500\r\nwhole\r\nhal")
+        assert await reader.read(-1) is not None
+        gone.set()
+
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, writer = await opened(client)
+        assert await reader.readline() == b"whole\r\n"
+        writer.write(b"unread")  # Guards against a reset that takes the MOVE with it.
+        node.stop()
+        assert await reader.read(-1) == b"MOVE\r\n"
+        await gone.wait()
+        await node.ended
+
+    with_node(half, scene)
+
+
+@pytest.mark.parametrize(
+    ("last", "got"), [(b"BYE x0=1\r\n", b"BYE x0=1\r\n"), (b"MOVE\r\n", b"MOVE\r\n"), (b"", b"")]
+)
+def test_the_servers_end_reaches_the_client(last: bytes, got: bytes) -> None:
+    async def bye(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP r-1\r\nLOAD 500\r\n" + last)
+
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, _ = await opened(client)
+        assert await reader.read(-1) == got
+
+    with_node(bye, scene)
+
+
+def test_a_broken_server_breaks_its_client() -> None:
+    async def broken(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP r-1\r\nLOAD 500\r\n")
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, writer = await opened(client)
+        writer.write(b"x" * 100_000)  # unread at the server: its end is a reset
+        with suppress(ConnectionResetError):
+            assert await reader.read(-1) == b""
+
+    with_node(broken, scene)
+
+
+def test_a_server_that_answers_nothing_costs_its_setups_and_then_the_client_is_answered() -> None:
+    async def nothing(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(5)
+
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, writer = await client()
+        writer.write(OPEN)
+        began = node.now()
+        assert await reader.read(-1) in (b"BUSY\r\n", b"ERR\r\n")
+        assert node.now() - began < 1.5
+
+    with_node(nothing, scene)
+
+
+def test_a_silent_server_is_left_with_a_move() -> None:
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"UP r-1\r\nLOAD 500\r\n")
+        await asyncio.sleep(8)
+
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, writer = await opened(client)
+        writer.write(b"anyone?\r\n")
+        assert await reader.read(-1) == b"MOVE\r\n"
+
+    with_node(silent, scene)
+
+
+@pytest.mark.parametrize("line", [b"GET / HTTP/1.1\r\n", b"x" * 5000, b"OPEN 1 2 c=other,d=50\r\n"])
+def test_what_cannot_be_read_is_answered_with_an_error(line: bytes) -> None:
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, writer = await client()
+        writer.write(line)
+        assert await reader.read(-1) == b"ERR\r\n"
+
+    with_node(echo, scene)
+
+
+def test_a_fault_of_the_decisions_ends_one_tunnel_and_not_the_balancer(monkeypatch: Any) -> None:
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(node.reducer.balancer, "arrived", lambda *_: 1 // 0)
+            reader, writer = await client()
+            writer.write(OPEN)
+            assert await reader.read(-1) == b"ERR\r\n"
+        await opened(client)
+
+    with_node(echo, scene)
+
+
+def test_log_lines_are_key_and_value() -> None:
+    record = logging.LogRecord("a.b", logging.INFO, "", 0, "state", None, None)
+    record.fields = {"open": 3, "why": 'no "answer"', "c": 0.51234}
+    shown = KeyValue().format(record)
+    assert shown.endswith('level=info from=a.b event=state open=3 why="no \\"answer\\"" c=0.5123')
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,138 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from pointgw.net.wire import lines
+from pointgw.net.wire.listing import Names, Response, body, request
+from pointgw.net.wire.start import flat, start
+from pointgw.site import Malformed
+
+OPEN = b"OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f,again=1"
+NAMES = Names(("a", "b"), ("m1", "m2"))
+ENTRY = {
+    "name": "s-1", "address": "127.1.0.18:8443", "zone": "b", "type": "m2", "group": 3,
+    "status": "draining", "weight": 1.5, "since_ms": 2500,
+}  # fmt: skip
+
+
+def test_a_first_line_is_decoded() -> None:
+    opening = lines.client_line(OPEN)
+    assert isinstance(opening, lines.Opening)
+    got = (opening.name, opening.key, opening.profile, opening.tenant, opening.group, opening.at)
+    assert got == ("9b1f", "7f3a", "chat", "acme", "5c0f", "")
+    assert (opening.patience, opening.back) == (2.0, True)
+
+
+@pytest.mark.parametrize(
+    ("line", "patience", "sent"),
+    [
+        (OPEN, 0.3, b"OPEN 9b1f 7f3a c=chat,t=acme,d=300,g=5c0f,again=1\r\n"),
+        (OPEN, None, OPEN + b"\r\n"),
+        (OPEN, 0.0001, OPEN.replace(b"d=2000", b"d=1") + b"\r\n"),
+        (b"OPEN 1 2 d=50,c=d=9", 0.02, b"OPEN 1 2 d=20,c=d=9\r\n"),
+        (b"OPEN 1 2 c=chat", 0.02, b"OPEN 1 2 c=chat\r\n"),
+    ],
+)
+def test_a_server_gets_the_line_as_it_came_but_for_the_time(
+    line: bytes, patience: float | None, sent: bytes
+) -> None:
+    opening = lines.client_line(line)
+    assert isinstance(opening, lines.Opening)
+    assert lines.opening_line(opening, patience) == sent
+
+
+@pytest.mark.parametrize("line", [b"", b"GET / HTTP/1.1", b"OPEN 1", b"OPEN 1 2 d=x", b"OPEN 1 2 \xff"])
+def test_a_bad_first_line_is_refused(line: bytes) -> None:
+    with pytest.raises(Malformed):
+        lines.client_line(line)
+
+
+@pytest.mark.parametrize(
+    ("line", "message"),
+    [
+        (b"UP r-1", lines.Up(b"UP r-1\r\n")),
+        (b"BUSY", lines.Closing("full", {})),
+        (b"ERR inflight=7,util=0.61", lines.Closing("error", {"connections": 7.0, "util": 0.61})),
+        (b"BYE x0=nonsense", lines.Closing("ok", {})),
+        (b"MOVE", lines.Closing("cancelled", {})),
+        (b"LOAD 51078.5", lines.Load(51078.5)),
+        (b"LOAD x", None),
+        (b"BYELAW", None),
+    ],
+)
+def test_a_servers_line_is_decoded(line: bytes, message: object) -> None:
+    assert lines.server_line(line) == message
+
+
+@pytest.mark.parametrize(
+    ("line", "closing"),
+    [
+        (b"PONG busy=0.5,x0=0.4", lines.Closing("ok", {"util": 0.5, "load": 0.4})),
+        (b"ERR", lines.Closing("error", {})),
+        (b"NO", lines.Closing("error", {})),
+    ],
+)
+def test_the_answer_to_a_probe_is_decoded(line: bytes, closing: lines.Closing) -> None:
+    assert lines.probe_line(line) == closing
+
+
+@pytest.mark.parametrize(
+    ("answer", "sent"),
+    [(lines.Failure(), b"ERR\r\n"), (lines.Decline(0.0), b"BUSY\r\n"), (lines.Decline(0.6), b"BUSY 600\r\n")],
+)
+def test_a_final_answer_is_one_line(answer: lines.Answer, sent: bytes) -> None:
+    assert lines.answer_line(answer) == sent
+
+
+def test_lines_are_cut_where_they_end() -> None:
+    buffer = bytearray(b"PING\r\nOPEN")
+    assert lines.cut(buffer) == b"PING" and lines.cut(buffer) is None and buffer == b"OPEN"
+    # Guards against a peer that fills the memory with a line that never ends.
+    with pytest.raises(Malformed):
+        lines.cut(bytearray(b"x" * lines.LONGEST))
+
+
+def test_a_list_is_decoded() -> None:
+    told = body(json.dumps({"index": 43, "snapshot": False, "endpoints": [ENTRY]}).encode(), NAMES)
+    assert (told.index, told.whole, told.addresses) == (43, False, (("s-1", "127.1.0.18", 8443),))
+    assert told.servers[0] == ("s-1", "leaving", 1, 3, 1, 2.5, 1.5)
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"[]", b'{"index":1}', b'{"index":1,"snapshot":true,"endpoints":[{"name":"s"}]}']
+)
+def test_a_bad_list_is_refused(data: bytes) -> None:
+    with pytest.raises(Malformed):
+        body(data, NAMES)
+
+
+def test_an_answer_of_discovery_may_come_in_pieces() -> None:
+    response = Response()
+    for byte in b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}":
+        response.feed(bytes([byte]))
+    assert response.done and response.status == 200 and response.data == b"{}"
+    response.feed(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+    assert response.status == 503
+    with pytest.raises(Malformed):
+        response.feed(b"nonsense\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("after", "path"), [(None, "/registry/instances"), (41, "/registry/instances?from=41&hold_ms=20000")]
+)
+def test_a_call_to_discovery(after: int | None, path: str) -> None:
+    assert request("127.0.0.1:8500", after, 20.0).startswith(f"GET {path} HTTP/1.1\r\nHost: ".encode())
+
+
+def test_nested_settings_become_fields() -> None:
+    value = {"a": {"b": [1, 2.5], "c": None, "d": True}, "e": [{"f": "x"}, {"f": "y"}], "g": []}
+    fields = {"a.b": "1,2.5", "a.c": "null", "a.d": "true", "e.count": "2", "e.0.f": "x", "e.1.f": "y"}
+    assert flat(value) == fields | {"g": ""}
+
+
+@pytest.mark.parametrize("data", [b"", b"{}", b'{"settings":{}}'])
+def test_a_bad_start_is_refused(data: bytes) -> None:
+    with pytest.raises(Malformed):
+        start(data)
