Probes without a report are not paid for; standing tunnels have their servers asked again

Checked by a trace (POINTGW_LOG=debug): 10 of the first 15 probes came before the servers had a report and were answered without one, 5 told a load of 0 from before the standing tunnels were up. Ruled out: setups (none failed), moves (none asked for), the sockets' delay (p99 7 ms).

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -183,12 +183,11 @@
         self.ask_due, self.ask_wait = now, site.ask_every / 8
         # SR_dyn.
         self.fraction = "connections" not in site.fields
-        self.step = STEP if self.fraction else 1.0
         self.c, self.c_started = 1.0, False
         self.offers = self.accepted = 0
         self.window_at = self.top_at = now
         self.top = self.top_before = 0.0
-        self.unit = STEP if self.fraction else 1.0  # what one placement adds to the busy figure
+        self.step = self.unit = STEP if self.fraction else 1.0  # unit: what one placement adds to busy
         self.load_unit = STEP  # what one tunnel adds to the load of a server
         self.full = FULL
         self.level = FULL  # the load that moves take a server down to
@@ -222,11 +221,8 @@
             for ep in self.servers.values():
                 ep.listed = False
         for line in entries:
-            found = self.servers.get(line.server)
-            if found is None:
-                found = self.servers[line.server] = Server(line.server)
-                found.probe_due = now
-            ep = found
+            ep = self.servers.get(line.server) or Server(line.server)
+            self.servers[line.server] = ep
             ep.cell, ep.zone = line.cell, line.zone
             if line.started != ep.started:
                 ep.started = line.started
@@ -510,6 +506,9 @@
         setup.began = True
         tun.setups.append(setup)
         tun.to(State.OPEN)
+        # Guards against a start on reports that were made before these tunnels stood.
+        ep.probe_due = min(ep.probe_due, now + LATE * self.goal)
+        self._earn(PROBE_SPEND + ASK_SPEND)
 
     def _place(self, tun: Tunnel, now: float) -> None:
         """Sends a held tunnel on, keeps it held while a server may yet turn up, or answers it."""
@@ -648,6 +647,8 @@
         if ending == "ok" and report:
             self._heard(ep, report, now)
             self._shed(ep, now)
+        elif ending == "ok":
+            self._earn(self.probe_price)  # guards against an empty purse where reports come later
         elif ending in ("error", "timeout", "no-connection", "reset"):
             self._struck(ep, now)
         self._told(ep, now)
@@ -742,8 +743,7 @@
         if count >= 2 * len(heard) > 0:
             # Never nought, also where the servers report no load at all.
             self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
-            if self.fraction:
-                self.unit = self.load_unit
+            self.unit = self.load_unit if self.fraction else self.unit
         for ep in self.live:
             self._reckon(ep)
         # Rule 4. A warm server can take as many tunnels a second as fill it in one life. This follows what
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -405,3 +405,24 @@
     tun.to(State.ENDED)
     with pytest.raises(ValueError, match="cannot become"):
         tun.to(State.OPEN)
+
+
+def test_a_probe_without_a_report_is_not_paid_for() -> None:
+    # Guards against a purse that is empty when the first reports come, after a start before the servers'.
+    bal, _, servers = balancer([None, None])
+    before = bal.purse
+    bal._ask_load(servers[0])
+    bal.probed(servers[0], "ok", {}, 100.1)
+    assert bal.purse == pytest.approx(before)
+    bal._ask_load(servers[0])
+    bal.probed(servers[0], "ok", {"load": 0.2}, 100.2)
+    assert bal.purse < before
+
+
+def test_reports_from_before_the_standing_tunnels_are_asked_for_again() -> None:
+    # Guards against a balancer that takes its servers for empty until the next probe by the clock.
+    bal, _, servers = balancer([0.0, 0.0])
+    servers[0].probe_due = servers[1].probe_due = 107.0
+    bal.purse = 0.0
+    bal.inherited(tunnel(bal), servers[0], 100.0)
+    assert servers[0].probe_due == 101.0 and servers[1].probe_due == 107.0 and bal.purse > 0
