--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -38,7 +38,7 @@
 RETRY_SHARE = 0.2  # further setups that each tunnel opened earns
 COLD_SAFE = 0.5  # of a cold server's budget that is spent, for chance and uneven tunnels
 WAIT = 0.5  # of the client timeout: how long a tunnel waits for a ready server
-LATE = 2  # setup goals until a placement shows in the reports
+LATE = 2  # setup goals until a placement shows in the reports, or a first report comes
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
@@ -47,7 +47,7 @@
 OVER = 0.2  # load over that level from which they are moved
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
-SETTLE = 4  # setup goals for a move off to show in the reports, or a first report to come
+SETTLE = 4  # setup goals for a move off to show in the reports
 SILENT = 8  # setup goals without an answer after which an open tunnel's server is taken to be gone
 
 
@@ -646,8 +646,6 @@
         if ending == "ok" and report:
             self._heard(ep, report, now)
             self._shed(ep, now)
-        elif ending == "ok":
-            self._earn(self.probe_price)  # guards against an empty purse where reports come later
         elif ending in ("error", "timeout", "no-connection", "reset"):
             self._struck(ep, now)
         self._told(ep, now)
@@ -762,7 +760,7 @@
             news = self._added(ep) >= NEWS and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing and self._may_ask(ASKED):
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
-                wait = min(every, SETTLE * self.goal) if ep.busy is None else every
+                wait = min(every, LATE * self.goal) if ep.busy is None else every
                 ep.probe_due = now + wait * self.uniform(0.8, 1.2)
                 self._ask_load(ep)
 
