--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -433,7 +433,7 @@
         Guards against many balancers that each probe a fleet at a pace which none of them pays for.
         """
         top = 2 * max(ASKED, len(self.live)) * self.probe_price
-        top += PROBE_SPEND * sum(len(ep.tunnels) for ep in self.live)
+        top += PROBE_SPEND * sum(max(0, len(ep.tunnels) - 1) for ep in self.live)
         self.purse = min(self.purse + spend, top)
 
     def _may_ask(self, kept: int = 0) -> bool:
@@ -507,7 +507,7 @@
         tun.to(State.OPEN)
         # Guards against a start on reports that were made before these tunnels stood.
         ep.probe_due = min(ep.probe_due, now + LATE * self.goal)
-        self._earn(PROBE_SPEND + ASK_SPEND)
+        self._earn(PROBE_SPEND if len(ep.tunnels) > 1 else 0.0)  # there are some to move
 
     def _place(self, tun: Tunnel, now: float) -> None:
         """Sends a held tunnel on, keeps it held while a server may yet turn up, or answers it."""
@@ -675,7 +675,8 @@
         if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
-        ep.probe_due = min(ep.probe_due, now + SETTLE * self.goal)  # whether it was enough
+        # Whether it was enough. All balancers move, so they look in turn.
+        ep.probe_due = min(ep.probe_due, now + max(SETTLE, LATE * self.balancers) * self.goal)
         part = 1.0 - self.level / ep.full_load
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
