--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -45,6 +45,7 @@
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
 LEVEL = 1.1 * FULL  # the highest load that open tunnels are moved off down to
 OVER = 0.2  # load over that level from which they are moved
+SEVERAL = 3  # own tunnels at a server over which probes of it are paid for by those that stand
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 SETTLE = 4  # setup goals for a move off to show in the reports
@@ -433,7 +434,7 @@
         Guards against many balancers that each probe a fleet at a pace which none of them pays for.
         """
         top = 2 * max(ASKED, len(self.live)) * self.probe_price
-        top += PROBE_SPEND * sum(max(0, len(ep.tunnels) - 1) for ep in self.live)
+        top += PROBE_SPEND * sum(max(0, len(ep.tunnels) - SEVERAL) for ep in self.live)
         self.purse = min(self.purse + spend, top)
 
     def _may_ask(self, kept: int = 0) -> bool:
@@ -507,7 +508,7 @@
         tun.to(State.OPEN)
         # Guards against a start on reports that were made before these tunnels stood.
         ep.probe_due = min(ep.probe_due, now + LATE * self.goal)
-        self._earn(PROBE_SPEND if len(ep.tunnels) > 1 else 0.0)  # there are some to move
+        self._earn(PROBE_SPEND if len(ep.tunnels) > SEVERAL else 0.0)
 
     def _place(self, tun: Tunnel, now: float) -> None:
         """Sends a held tunnel on, keeps it held while a server may yet turn up, or answers it."""
@@ -675,8 +676,8 @@
         if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
-        # Whether it was enough. All balancers move, so they look in turn.
-        ep.probe_due = min(ep.probe_due, now + max(SETTLE, LATE * self.balancers) * self.goal)
+        if len(ep.tunnels) > SEVERAL:  # whether it was enough
+            ep.probe_due = min(ep.probe_due, now + SETTLE * self.goal)
         part = 1.0 - self.level / ep.full_load
         known = [tun.load for tun in ep.tunnels if tun.load]
         usual = sum(known) / len(known) if known else 1.0
