A tunnel that grows heavy has its server asked for its load

Trace of it: at 6.69 one tunnel at s-8a15 grows from 0.02 to 0.59 cores, at 7.86 one at s-5b46 from 0.19 to 0.58; their servers' loads go from 0.59 to 1.24 and from 0.53 to 1.45, and their balancers are told at once (LOAD) but ask only at 8.26 and 8.50, with the next arrivals. At fault: load_noted kept the figure for later and did nothing. Now growth that adds 0.1 to the server's load, in tunnels of the usual weight, asks for its load two setup goals later.

--- a/pointgw/drill/host.py
+++ b/pointgw/drill/host.py
@@ -129,7 +129,7 @@
         tun, kind = self.tunnel(fields), site.whole(fields, "kind")
         level = site.number(fields, "level")
         if kind == 1:
-            self.balancer.load_noted(tun, level / 1e6)
+            self.balancer.load_noted(tun, level / 1e6, now)
         elif kind == 2:
             self.balancer.delay_noted(tun, level / 1e3, now)
 
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -107,7 +107,7 @@
                 self._ended(event)
             case Weighed():
                 if event.client in self.clients:
-                    self.balancer.load_noted(self.clients[event.client].tun, event.load.load / 1e6)
+                    self.balancer.load_noted(self.clients[event.client].tun, event.load.load / 1e6, now)
             case Slow():
                 self._slow(event)
             case Probed():
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -282,14 +282,12 @@
         """The load that tells whether a server has room: the reported one, with what all balancers are likely
         to have added since. It has room under FULL.
 
-        Guards against balancers that fill the same server between two reports, and against overload:
-        an overdriven server serves nobody and drops what it holds, which comes again at once. What ended
-        or was moved off since makes no room before a report shows it: a tunnel gone is less than the mean
-        tunnel's load, as its group may stay, and one let in for each gone would keep the server full.
+        Guards against balancers that fill the same server between two reports, and against overload: an
+        overdriven server serves nobody and drops what it holds, which comes again at once. What ended or was
+        moved off makes no room before a report shows it: its group may stay, and the server would stay full.
         """
         load = self.mean_load if ep.busy is None else ep.full_load
-        # With no report at all there is no unit to count in either: then all have room.
-        ep.reckoned = -inf if load is None else load + self._added(ep)
+        ep.reckoned = -inf if load is None else load + self._added(ep)  # with no report at all, all have room
 
     def _added(self, ep: Server) -> float:
         """Load that all balancers are likely to have added since, each as this one did."""
@@ -325,8 +323,7 @@
         if not ready and pool is not self.live:
             self.part = None  # the others serve until the next round
             return self._candidates(tun, now)
-        # Guards against being left without servers because all look bad at once, and against a storm on
-        # servers that are bad: each suspended server may have one setup out at a time.
+        # Guards against being left without servers, and against a storm: a suspended one has one setup out.
         if not ready:
             ready = [
                 ep
@@ -477,8 +474,7 @@
         self._open_window(now)
 
     def _open_window(self, now: float) -> None:
-        self.offers = self.accepted = 0
-        self.window_at = now
+        self.offers, self.accepted, self.window_at = 0, 0, now
 
     # Tunnels.
 
@@ -558,10 +554,11 @@
     def opened(self, tun: Tunnel, number: int, now: float) -> None:
         if tun.state is State.SETTING_UP and number == len(tun.setups) - 1:
             tun.to(State.OPEN)
-            tun.setups[number].began = True
-            tun.setups[number].ep.trying -= 1
+            setup = tun.setups[number]
+            setup.began = True
+            setup.ep.trying -= 1
+            setup.ep.strikes -= setup.ep.out_until <= now and setup.ep.strikes > 0
             self.retries = min(self.retries + RETRY_SHARE, self.retry_top)
-            self._worked(tun.setups[number].ep, now)
 
     def ended(
         self, tun: Tunnel, number: int, ending: Ending, closed: bool, report: Report, now: float
@@ -608,9 +605,20 @@
                 if setup.out:
                     self.host.call_off(tun, number)
 
-    def load_noted(self, tun: Tunnel, load: float) -> None:
+    def load_noted(self, tun: Tunnel, load: float, now: float) -> None:
+        """Guards against a tunnel that grows heavy while its server's last report still looks well."""
+        if tun.state is State.OPEN:
+            ep = tun.setups[-1].ep
+            usual = self._usual(ep)
+            if (load - (tun.load or usual)) * self.load_unit >= NEWS * usual:
+                ep.probe_due = min(ep.probe_due, now + LATE * self.goal)
         tun.load = load
 
+    @staticmethod
+    def _usual(ep: Server) -> float:
+        known = [tun.load for tun in ep.tunnels if tun.load]
+        return sum(known) / len(known) if known else 1.0
+
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
         """Messages at its server take long: its load is asked for, as it may have changed.
 
@@ -635,11 +643,6 @@
             ep.strikes = min(ep.strikes + 1, 4)
             ep.out_until = now + self.goal * 4 * 2**ep.strikes * self.uniform(0.8, 1.2)
 
-    @staticmethod
-    def _worked(ep: Server, now: float) -> None:
-        if ep.out_until <= now:
-            ep.strikes = max(0, ep.strikes - 1)
-
     # Reports.
 
     def probed(self, ep: Server, ending: Ending, report: Report, now: float) -> None:
@@ -667,11 +670,9 @@
     def _shed(self, ep: Server, now: float) -> None:
         """Moves this balancer's share of what a server holds too much.
 
-        Guards against a fleet or a server that is asked for more than it can do (overload, a slowed
-        machine, a noisy neighbour): it would answer no messages in time and drop tunnels anyway. All
-        balancers hear the same load, so the same part of each one's tunnels takes it down to the level.
-        The level follows the median load of a crowded fleet a little. Guards against clients that are sent
-        round and round where most servers lie over the limit, so that there is hardly a better place.
+        Guards against a server asked for more than it can do: it would answer no messages in time and drop
+        tunnels anyway. All hear the same load, so the same part of each one's tunnels takes it to the level.
+        That follows the median load of a crowded fleet. Guards against clients that are sent round and round.
         """
         if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
@@ -679,8 +680,7 @@
         if len(ep.tunnels) > SEVERAL:  # whether it was enough
             ep.probe_due = min(ep.probe_due, now + SETTLE * self.goal)
         part = 1.0 - self.level / ep.full_load
-        known = [tun.load for tun in ep.tunnels if tun.load]
-        usual = sum(known) / len(known) if known else 1.0
+        usual = self._usual(ep)
         excess = part * sum(tun.load or usual for tun in ep.tunnels)
         # The heaviest first, else the newest: the fewest clients are sent round.
         order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -434,3 +434,16 @@
     for _ in range(30):
         bal.inherited(tunnel(bal), servers[0], 100.0)
     assert bal.purse == pytest.approx(two_rounds + (30 - SEVERAL) * PROBE_SPEND)
+
+
+@pytest.mark.parametrize(("load", "due"), [(0.3, 101.0), (0.06, 130.0), (0.01, 130.0)])
+def test_a_tunnel_that_grows_heavy_has_its_server_asked(load: float, due: float) -> None:
+    # Guards against a server that one tunnel fills while its last report still looks well.
+    bal, _, servers = balancer([0.3, 0.3])
+    tunnels = [tunnel(bal) for _ in range(4)]
+    for tun in tunnels:
+        bal.inherited(tun, servers[0], 100.0)
+        tun.load = 0.05
+    servers[0].probe_due = 130.0
+    bal.load_noted(tunnels[0], load, 100.0)
+    assert (tunnels[0].load, servers[0].probe_due) == (load, due)
