--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -11,21 +11,7 @@
 from random import Random
 
 from pointgw.interface import Ending, Report
-from pointgw.net.memory.effects import (
-    Address,
-    Ask,
-    Connect,
-    Drop,
-    Effect,
-    End,
-    Exit,
-    Join,
-    Move,
-    Probe,
-    Reply,
-    StopIn,
-    Wake,
-)
+from pointgw.net.memory import effects as fx
 from pointgw.net.memory.events import (
     Arrived,
     Ended,
@@ -72,11 +58,11 @@
     """All that this balancer keeps."""
 
     def __init__(self, start: Start, now: float) -> None:
-        self.effects: list[Effect] = []
+        self.effects: list[fx.Effect] = []
         self.later: list[tuple[Tunnel, int, Ending]] = []  # ends that follow from what was asked for
         self.clients: dict[int, Client] = {}
         self.of: dict[Tunnel, Client] = {}
-        self.addresses: dict[str, Address] = {}
+        self.addresses: dict[str, fx.Address] = {}
         self.index = start.known.index
         self.asking = False
         self.wake_at = inf
@@ -93,7 +79,7 @@
         self.balancer = Balancer(start.site, self, Random(start.seed), now)
         self._list(start.known, True)
 
-    def take(self, event: Event, now: float) -> list[Effect]:
+    def take(self, event: Event, now: float) -> list[fx.Effect]:
         """The one entry: changes the state and gives the effects, in order."""
         self.now = now
         match event:
@@ -126,7 +112,7 @@
             self._over(tun, number, ending, True, {})
         return self.given()
 
-    def given(self) -> list[Effect]:
+    def given(self) -> list[fx.Effect]:
         effects, self.effects = self.effects, []
         return effects
 
@@ -138,10 +124,10 @@
         if not must(event.client not in self.clients, "a client arrives once"):
             return
         if profile is None or (opening.at and opening.at not in self.balancer.servers):
-            self.effects.append(Reply(event.client, Failure()))
+            self.effects.append(fx.Reply(event.client, Failure()))
             return
         if now >= self.stop_at + ARRIVE_ON:
-            self.effects.append(Reply(event.client, Decline(0.0)))
+            self.effects.append(fx.Reply(event.client, Decline(0.0)))
             return
         patience = opening.patience
         if patience is None:
@@ -163,7 +149,7 @@
         assert client.standing is not None
         address = self.addresses[client.standing.name]
         self.effects.append(
-            Connect(client.number, 0, address, client.opening, None, STANDING, STANDING, after)
+            fx.Connect(client.number, 0, address, client.opening, None, STANDING, STANDING, after)
         )
 
     def _left(self, event: Left) -> None:
@@ -175,11 +161,11 @@
         was_open = tun.state is State.OPEN
         self.balancer.left(tun, self.now)
         if client.standing is not None:
-            self.effects.append(Drop(client.number, 0, event.reset))
+            self.effects.append(fx.Drop(client.number, 0, event.reset))
             client.standing = None
         elif was_open:
             number = len(tun.setups) - 1
-            self.effects.append(Drop(client.number, number, event.reset))
+            self.effects.append(fx.Drop(client.number, number, event.reset))
             self.later.append((tun, number, "cancelled"))
         self._forget_done(client)
 
@@ -194,7 +180,7 @@
     def _opened(self, event: Opened) -> None:
         client = self.clients.get(event.client)
         if client is None:
-            self.effects.append(Drop(event.client, event.setup))
+            self.effects.append(fx.Drop(event.client, event.setup))
             return
         tun = client.tun
         if client.standing is not None:
@@ -204,9 +190,9 @@
             self.balancer.opened(tun, event.setup, self.now)
         if tun.state is State.OPEN and event.setup == len(tun.setups) - 1:
             client.answered = True
-            self.effects.append(Join(client.number, event.setup))
+            self.effects.append(fx.Join(client.number, event.setup))
         else:  # given up meanwhile
-            self.effects.append(Drop(client.number, event.setup))
+            self.effects.append(fx.Drop(client.number, event.setup))
             self.later.append((tun, event.setup, "cancelled"))
 
     def _ended(self, event: Ended) -> None:
@@ -224,7 +210,7 @@
             return
         was_open = tun.state is State.OPEN
         if was_open:
-            self.effects.append(End(client.number, event.reset))
+            self.effects.append(fx.End(client.number, event.reset))
         self._over(tun, event.setup, ending, was_open, event.closing.report)
 
     def _over(self, tun: Tunnel, number: int, ending: Ending, closed: bool, report: Report) -> None:
@@ -260,12 +246,12 @@
     def _ask(self, hold: float) -> None:
         if not self.asking:
             self.asking = True
-            self.effects.append(Ask(self.index, hold))
+            self.effects.append(fx.Ask(self.index, hold))
 
     def _tick(self) -> None:
         if self.now < self.wake_at:
             if self.wake_at < inf:
-                self.effects.append(Wake(self.wake_at - self.now))
+                self.effects.append(fx.Wake(self.wake_at - self.now))
             return
         self.wake_at = inf
         self.balancer.tick(self.now)
@@ -276,7 +262,7 @@
         left = self.stop_at + self.stop_within - self.now
         quiet = self.now >= max(self.stop_at + ARRIVE_ON, self.moved_at) + LAST
         if left <= 0 or (quiet and not self.clients):
-            self.effects.append(Exit())
+            self.effects.append(fx.Exit())
             return
         if self.now >= self.stop_at + ARRIVE_ON:
             rounds = max(1, int((left - LAST) / STEP))
@@ -288,7 +274,7 @@
             if rounds == 1:
                 for client in [c for c in self.clients.values() if c.tun.state is not State.OPEN]:
                     self._turn_away(client)
-        self.effects.append(StopIn(STEP))
+        self.effects.append(fx.StopIn(STEP))
 
     def _turn_away(self, client: Client) -> None:
         """The final answer of a tunnel that this balancer has no time left for."""
@@ -300,15 +286,14 @@
     # What the module asks for (`pointgw.interface.Host`).
 
     def setup(self, tun: Tunnel, ep: Server, patience: float) -> None:
-        client = self.of[tun]
+        client, number, address = self.of[tun], len(tun.setups) - 1, self.addresses[ep.name]
         within = min(self.connect_within, patience)
-        address = self.addresses[ep.name]
         self.effects.append(
-            Connect(client.number, len(tun.setups) - 1, address, client.opening, patience, patience, within)
+            fx.Connect(client.number, number, address, client.opening, patience, patience, within)
         )
 
     def call_off(self, tun: Tunnel, number: int) -> None:
-        self.effects.append(Drop(self.of[tun].number, number))
+        self.effects.append(fx.Drop(self.of[tun].number, number))
         self.later.append((tun, number, "cancelled"))
 
     def decline(self, tun: Tunnel, come_back: float) -> None:
@@ -320,17 +305,17 @@
     def _answer(self, client: Client, answer: Decline | Failure) -> None:
         if must(not client.answered, "a tunnel gets one final answer"):
             client.answered = True
-            self.effects.append(Reply(client.number, answer))
+            self.effects.append(fx.Reply(client.number, answer))
             self._forget_done(client)
 
     def move(self, tun: Tunnel) -> None:
         number = len(tun.setups) - 1
-        self.effects.append(Move(self.of[tun].number, number))
+        self.effects.append(fx.Move(self.of[tun].number, number))
         self.later.append((tun, number, "cancelled"))
 
     def probe(self, ep: Server) -> None:
         address = self.addresses[ep.name]
-        self.effects.append(Probe(ep.name, address, self.probe_within, self.connect_within))
+        self.effects.append(fx.Probe(ep.name, address, self.probe_within, self.connect_within))
 
     def watch(self) -> None:
         self._ask(0.0)
@@ -338,7 +323,7 @@
     def timer(self, delay: float) -> None:
         if self.now + delay < self.wake_at:
             self.wake_at = self.now + delay
-            self.effects.append(Wake(delay))
+            self.effects.append(fx.Wake(delay))
 
     # For the log.
 
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -11,20 +11,7 @@
 
 import uvloop
 
-from pointgw.net.memory.effects import (
-    Ask,
-    Connect,
-    Drop,
-    Effect,
-    End,
-    Exit,
-    Join,
-    Move,
-    Probe,
-    Reply,
-    StopIn,
-    Wake,
-)
+from pointgw.net.memory import effects as fx
 from pointgw.net.memory.events import Arrived, Event, Stopping, Tick
 from pointgw.net.memory.reducer import Reducer
 from pointgw.net.run.client import ClientSide
@@ -107,8 +94,8 @@
             self._fault("an event is taken", event)
             effects = self.reducer.given()
             # Guards rule 1: whatever went wrong, the client gets an answer.
-            if isinstance(event, Arrived) and not any(isinstance(e, Connect | Reply) for e in effects):
-                effects.append(Reply(event.client, Failure()))
+            if isinstance(event, Arrived) and not any(isinstance(e, fx.Connect | fx.Reply) for e in effects):
+                effects.append(fx.Reply(event.client, Failure()))
         if _trace.isEnabledFor(logging.DEBUG):
             _trace.debug("step", extra={"fields": {"took": event, "asks": effects}})
         self._carry_out(effects)
@@ -117,46 +104,46 @@
         broken[what] += 1
         _log.exception("fault", extra={"fields": {"what": what, "about": type(about).__name__}})
 
-    def _carry_out(self, effects: list[Effect]) -> None:
+    def _carry_out(self, effects: list[fx.Effect]) -> None:
         for effect in effects:
             try:
                 self._do(effect)
             except Exception:
                 self._fault("an effect is carried out", effect)
 
-    def _do(self, effect: Effect) -> None:
+    def _do(self, effect: fx.Effect) -> None:
         match effect:
-            case Connect():
+            case fx.Connect():
                 side = self.clients.get(effect.client)
                 if side is not None:
                     self.servers[effect.client, effect.setup] = ServerSide(self, effect, side)
-            case Drop():
+            case fx.Drop():
                 server = self.servers.get((effect.client, effect.setup))
                 if server is not None:
                     server.drop(effect.reset)
-            case Join():
+            case fx.Join():
                 self.servers[effect.client, effect.setup].join()
-            case Reply():
+            case fx.Reply():
                 if effect.client in self.clients:
                     self.clients[effect.client].answer(effect.answer)
-            case End():
+            case fx.End():
                 if effect.client in self.clients:
                     self.clients[effect.client].end(effect.reset)
-            case Move():
+            case fx.Move():
                 if effect.client in self.clients:
                     self.clients[effect.client].move()
                 server = self.servers.get((effect.client, effect.setup))
                 if server is not None:
                     server.drop(False)
-            case Probe():
+            case fx.Probe():
                 self.probes.setdefault(effect.server, ProbeSide(self)).ask(effect)
-            case Ask():
+            case fx.Ask():
                 self.discovery.ask(effect)
-            case Wake():
+            case fx.Wake():
                 self.loop.call_later(effect.delay, self.feed, Tick())
-            case StopIn():
+            case fx.StopIn():
                 self.loop.call_later(effect.delay, self.feed, Stopping())
-            case Exit():
+            case fx.Exit():
                 if not self.ended.done():
                     self.ended.set_result(None)
 
--- a/pointgw/net/run/probe.py
+++ b/pointgw/net/run/probe.py
@@ -85,6 +85,8 @@
             self.transport = None
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.transport is None:
+            return  # ended by us; another probe may be out already
         self.transport = None
         if self.asked is not None:
             if self.reused:  # the server has ended a connection that was idle: asked again on a new one
