--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -32,7 +32,7 @@
 
 class Node:
     def __init__(self, start: Start, loop: asyncio.AbstractEventLoop) -> None:
-        self.loop = loop
+        self.loop, self.start = loop, start
         self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
         self.slow_after = min(p.setup_goal for p in start.site.profiles) / 3
         self.reducer = Reducer(start, self.now())
@@ -58,14 +58,15 @@
     def forget(self, number: int) -> None:
         self.clients.pop(number, None)
 
-    async def serve(self, address: tuple[str, int]) -> None:
-        listener = await self.loop.create_server(lambda: ClientSide(self), *address, backlog=BACKLOG)
+    async def serve(self) -> None:
+        host, port = self.start.listen
+        listener = await self.loop.create_server(lambda: ClientSide(self), host, port, backlog=BACKLOG)
         for name in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(name, self.stop)
         self._carry_out(self.reducer.given())
         self._look()
         self._report()
-        _log.info("serving", extra={"fields": {"on": f"{address[0]}:{address[1]}"}})
+        _log.info("serving", extra={"fields": {"name": self.start.name, "on": f"{host}:{port}"}})
         await self.ended
         listener.close()
 
@@ -160,6 +161,6 @@
 
 def run(start: Start) -> None:
     async def main() -> None:
-        await Node(start, asyncio.get_running_loop()).serve(start.listen)
+        await Node(start, asyncio.get_running_loop()).serve()
 
     uvloop.run(main())
--- a/pointgw/net/wire/start.py
+++ b/pointgw/net/wire/start.py
@@ -22,7 +22,6 @@
     profiles: tuple[str, ...]
     tenants: tuple[str, ...]
     connect_within: float
-    idle: float  # seconds after which a server may end a connection that carries nothing
     known: Listing
 
 
@@ -61,7 +60,6 @@
             profiles=_names(settings.get("profiles")),
             tenants=_names(settings.get("tenants")),
             connect_within=seconds(fields, "limits.connectTimeout", 0.25),
-            idle=seconds(fields, "limits.connIdle", 15.0),
             known=listing(told["known"], names),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -20,7 +20,7 @@
     known = Listing(7, True, lines, tuple((f"s{i}", "127.0.0.9", 9000 + i) for i in range(2)))
     told = Start(
         "n0", ("127.0.0.1", 1), ("127.0.0.1", 2), 5, site(**({"may_probe": False, "asks": True} | changes)),
-        Names(("a",), ("k",)), ("chat",), ("acme",), 0.12, 30.0, known,
+        Names(("a",), ("k",)), ("chat",), ("acme",), 0.12, known,
     )  # fmt: skip
     red = Reducer(told, 100.0)
     red.given()
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -92,7 +92,7 @@
         listen = free_port()
         ports = [server.sockets[0].getsockname()[1] for server in (servers, discovery)]
         node = Node(start(told(ports[0], ports[1], listen)), asyncio.get_running_loop())
-        serving = asyncio.create_task(node.serve(("127.0.0.1", listen)))
+        serving = asyncio.create_task(node.serve())
         await asyncio.sleep(0.1)
         async with asyncio.timeout(10):
             await scene(node, stand_in, lambda: asyncio.open_connection("127.0.0.1", listen))
