--- a/pointgw/__main__.py
+++ b/pointgw/__main__.py
@@ -23,7 +23,11 @@
     except (OSError, Malformed) as fault:
         print(f"pointgw: {path}: {fault}", file=sys.stderr)
         return 2
-    run(told)
+    try:
+        run(told)
+    except OSError as fault:
+        print(f"pointgw: {told.listen[0]}:{told.listen[1]}: {fault}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/pointgw/net/wire/listing.py
+++ b/pointgw/net/wire/listing.py
@@ -44,7 +44,7 @@
             servers.append(
                 Listed(
                     server=str(line["name"]),
-                    state=STATES[line["status"]],
+                    state=STATES.get(line["status"], "leaving"),  # an unknown word allows nothing new
                     kind=_place(line.get("type"), names.kinds),
                     cell=int(line.get("group") or 0),
                     zone=_place(line.get("zone"), names.zones),
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -13,6 +13,7 @@
 import pytest
 import uvloop
 
+from pointgw.__main__ import main
 from pointgw.net.run.log import KeyValue
 from pointgw.net.run.node import Node
 from pointgw.net.wire.start import start
@@ -247,6 +248,17 @@
     with_node(echo, scene)
 
 
+def test_a_start_that_cannot_be_gets_one_plain_line(tmp_path: Any, monkeypatch: Any, capfd: Any) -> None:
+    path = tmp_path / "config.json"
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        for data, says in ((b"{", "start-up JSON"), (told(1, 2, taken.getsockname()[1]), "in use")):
+            path.write_bytes(data)
+            monkeypatch.setenv("GW_CONFIG", str(path))
+            assert main() > 0
+            plain = [line for line in capfd.readouterr().err.splitlines() if line.startswith("pointgw: ")]
+            assert len(plain) == 1 and says in plain[0]
+
+
 def test_log_lines_are_key_and_value() -> None:
     record = logging.LogRecord("a.b", logging.INFO, "", 0, "state", None, None)
     record.fields = {"open": 3, "why": 'no "answer"', "c": 0.51234}
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -98,6 +98,9 @@
     told = body(json.dumps({"index": 43, "snapshot": False, "endpoints": [ENTRY]}).encode(), NAMES)
     assert (told.index, told.whole, told.addresses) == (43, False, (("s-1", "127.1.0.18", 8443),))
     assert told.servers[0] == ("s-1", "leaving", 1, 3, 1, 2.5, 1.5)
+    later = [ENTRY | {"status": "resting"}, ENTRY | {"zone": "z", "type": "m9", "more": 1}]
+    told = body(json.dumps({"index": 44, "snapshot": True, "endpoints": later}).encode(), NAMES)
+    assert [(s.state, s.zone, s.kind) for s in told.servers] == [("leaving", 1, 1), ("leaving", -1, -1)]
 
 
 @pytest.mark.parametrize(
