--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -101,6 +101,8 @@
             self.server.go_on()
 
     def eof_received(self) -> None:
+        if self.number < 0 and self.buffer:
+            self.answer(lines.Failure())  # its first line was cut short
         self._gone(False)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -226,12 +226,17 @@
     with_node(silent, scene)
 
 
-@pytest.mark.parametrize("line", [b"GET / HTTP/1.1\r\n", b"x" * 5000, b"OPEN 1 2 c=other,d=50\r\n"])
+@pytest.mark.parametrize(
+    "line", [b"GET / HTTP/1.1\r\n", b"x" * 5000, b"OPEN 1 2 c=other,d=50\r\n", b"\xff\r\n", b"OPEN 1"]
+)
 def test_what_cannot_be_read_is_answered_with_an_error(line: bytes) -> None:
     async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
         reader, writer = await client()
         writer.write(line)
+        if not line.endswith(b"\n"):
+            writer.write_eof()
         assert await reader.read(-1) == b"ERR\r\n"
+        assert not there.lines
 
     with_node(echo, scene)
 
