--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -43,7 +43,7 @@
         writer.close()
 
     async def discover(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(ConnectionError):
+        with suppress(ConnectionError, asyncio.IncompleteReadError):
             while head := await reader.readuntil(b"\r\n\r\n"):
                 self.calls += 1
                 await asyncio.sleep(30.0 if b"hold_ms=20000" in head else 0.0)
@@ -259,6 +259,7 @@
         for data, says in ((b"{", "start-up JSON"), (told(1, 2, taken.getsockname()[1]), "in use")):
             path.write_bytes(data)
             monkeypatch.setenv("GW_CONFIG", str(path))
+            monkeypatch.setattr("pointgw.net.run.log.begin", lambda level: None)
             assert main() > 0
             plain = [line for line in capfd.readouterr().err.splitlines() if line.startswith("pointgw: ")]
             assert len(plain) == 1 and says in plain[0]
