Sockets' side tidied: a setup's connection tells whether its line went out; shared figures in one place

- ServerSide.sent is gone.
- The shortest setup goal is the module's own figure; the reducer and the node no longer reckon it again.

--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -75,8 +75,8 @@
         self.hold = HOLD * start.site.ask_every
         longest = max(p.client_timeout for p in start.site.profiles)
         self.stop_within = min(longest, LONGEST) + KILL_AFTER - SPARE
-        self.probe_within = min(p.setup_goal for p in start.site.profiles) / 2
         self.balancer = Balancer(start.site, self, Random(start.seed), now)
+        self.probe_within = self.balancer.goal / 2
         self._list(start.known, True)
 
     def take(self, event: Event, now: float) -> list[fx.Effect]:
--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -15,9 +15,6 @@
     from pointgw.net.run.node import Node
     from pointgw.net.run.server import ServerSide
 
-FULL_BUFFER = 16 * 1024  # bytes waiting for one side after which the other is not read
-LINGER = 0.25  # seconds that a client has to end its side once it got its last line
-
 _log = logging.getLogger("pointgw.client")
 
 
@@ -33,7 +30,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(FULL_BUFFER)
+        self.transport.set_write_buffer_limits(ends.FULL_BUFFER)
         self.node.sides.add(self)
 
     def data_received(self, data: bytes) -> None:
@@ -43,7 +40,7 @@
             self.buffer += data
             if self.number < 0:
                 self._first_lines()
-            elif len(self.buffer) > FULL_BUFFER:
+            elif len(self.buffer) > ends.FULL_BUFFER:
                 ends.pause(self.transport)
 
     def _first_lines(self) -> None:
@@ -90,7 +87,7 @@
         if reset:
             ends.reset(self.transport)
         else:
-            ends.finish(self.transport, LINGER)
+            ends.finish(self.transport)
 
     def pause_writing(self) -> None:
         if self.server is not None:
--- a/pointgw/net/run/ends.py
+++ b/pointgw/net/run/ends.py
@@ -6,6 +6,8 @@
 import socket
 import struct
 
+FULL_BUFFER = 16 * 1024  # bytes waiting for one side after which the other is not read
+LINGER = 0.25  # seconds that the other side has to end once it got its last line
 NO_LINGER = struct.pack("ii", 1, 0)
 
 
@@ -27,7 +29,7 @@
         transport.resume_reading()
 
 
-def finish(transport: asyncio.Transport, within: float) -> None:
+def finish(transport: asyncio.Transport) -> None:
     """Ends it in order: what was written arrives, and what the other side still says is read and dropped.
 
     Closing at once with something unread resets the connection, and the last line may be lost with it.
@@ -36,4 +38,4 @@
         return
     transport.resume_reading()
     transport.write_eof()
-    asyncio.get_running_loop().call_later(within, transport.abort)
+    asyncio.get_running_loop().call_later(LINGER, transport.abort)
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -34,8 +34,8 @@
     def __init__(self, start: Start, loop: asyncio.AbstractEventLoop) -> None:
         self.loop, self.start = loop, start
         self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
-        self.slow_after = min(p.setup_goal for p in start.site.profiles) / 3
         self.reducer = Reducer(start, self.now())
+        self.slow_after = self.reducer.balancer.goal / 3
         self.sides: set[ClientSide] = set()
         self.clients: dict[int, ClientSide] = {}
         self.servers: dict[tuple[int, int], ServerSide] = {}
@@ -137,7 +137,9 @@
                 if server is not None:
                     server.drop(False)
             case fx.Probe():
-                self.probes.setdefault(effect.server, ProbeSide(self)).ask(effect)
+                if effect.server not in self.probes:
+                    self.probes[effect.server] = ProbeSide(self)
+                self.probes[effect.server].ask(effect)
             case fx.Ask():
                 self.discovery.ask(effect)
             case fx.Wake():
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -9,7 +9,7 @@
 from pointgw.net.memory.effects import Connect
 from pointgw.net.memory.events import Ended, Opened, Slow, Weighed
 from pointgw.net.run import ends
-from pointgw.net.run.client import FULL_BUFFER, LINGER, ClientSide
+from pointgw.net.run.client import ClientSide
 from pointgw.net.wire import lines
 from pointgw.site import Malformed
 
@@ -19,7 +19,7 @@
 
 class ServerSide(asyncio.Protocol):
     __slots__ = (
-        "asked", "buffer", "client", "closing", "node", "over", "sent", "task", "timer", "transport", "up",
+        "asked", "buffer", "client", "closing", "node", "over", "task", "timer", "transport", "up",
         "waits_since",
     )  # fmt: skip
 
@@ -28,7 +28,6 @@
         self.buffer = bytearray()  # what came after the last whole line
         self.closing: lines.Closing | None = None  # how the server said that it ends
         self.transport: asyncio.Transport | None = None
-        self.sent = False  # the whole first line was written
         self.up: lines.Up | None = None
         self.over = False
         self.waits_since: float | None = None  # since when the client's lines have brought nothing back
@@ -48,9 +47,8 @@
         if self.over:
             self.transport.abort()
             return
-        self.transport.set_write_buffer_limits(FULL_BUFFER)
+        self.transport.set_write_buffer_limits(ends.FULL_BUFFER)
         self.transport.write(lines.opening_line(self.asked.opening, self.asked.patience))
-        self.sent = self.transport.get_write_buffer_size() == 0
 
     def data_received(self, data: bytes) -> None:
         if self.over:
@@ -135,7 +133,7 @@
             elif self.up is None:
                 self.transport.abort()
             else:
-                ends.finish(self.transport, LINGER)
+                ends.finish(self.transport)
 
     def _stop(self) -> None:
         self.over = True
@@ -145,7 +143,7 @@
         self.node.servers.pop((self.asked.client, self.asked.setup), None)
 
     def _late(self) -> None:
-        self._end("timeout" if self.sent else "no-connection")
+        self._end("no-connection" if self.transport is None else "timeout")
 
     def _end(self, ending: Ending, reset: bool = False) -> None:
         if self.over:
@@ -163,7 +161,7 @@
         ends.resume(self.client.transport)
 
     def eof_received(self) -> None:
-        self._end("reset" if self.sent else "no-connection")
+        self._end("reset")  # the line went out with the connection, so it may have run
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._end("reset" if self.sent else "no-connection", exc is not None)
+        self._end("reset", exc is not None)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -3,9 +3,9 @@
 from typing import Any
 
 import pytest
-from helpers import REPEATABLE, site
+from helpers import site
 
-from pointgw.interface import Listed
+from pointgw.interface import Listed, Profile
 from pointgw.net.memory import effects as fx
 from pointgw.net.memory import events as ev
 from pointgw.net.memory.reducer import ARRIVE_ON, STANDING, Reducer
@@ -57,7 +57,7 @@
 
 def test_a_once_only_tunnel_that_may_have_run_is_closed_with_error() -> None:
     # Guards rule 2 on sockets: a reset after the line's last byte may have run.
-    red = reducer(profiles=(REPEATABLE.__class__("once-only", "all", 5.0, 0.5, 3.0, 1.0),))
+    red = reducer(profiles=(Profile("once-only", "all", 5.0, 0.5, 3.0, 1.0),))
     arrive(red)
     assert red.take(ev.Ended(1, 0, Closing("reset", {}), True), 100.2) == [fx.Reply(1, Failure())]
     assert not red.clients and not red.of
