Whole groups leave a server that is asked for more than it can do

Trace (every step logged): two of five servers report 1.2 to 2.1 from second 10 on and serve nobody; moves take 1 to 3 tunnels a look there, and the reports stay where they are for eight seconds until both are gone. At second 13 server 2 holds 5 own tunnels of 0.03 load in all, in 3 groups, and still reports 1.47.

Checked: the loads told (LOAD) against the reports: what is left after the heaviest went is the groups' cost, which each light tunnel keeps, and `_shed` reckoned with the tunnels' own loads alone. Ruled out: late reports (each was new), messages' delay as a sign (no answer on an open tunnel took over 0.1 s, so nothing is told by it).

At fault: `Balancer._shed`, the weight of a tunnel. Now, from a load of 1 on, whole groups go, each weighed with one mean tunnel for the group, in the homes' order that all balancers share.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -386,9 +386,7 @@
     def _gathers(self) -> bool:
         """Whether groups are gathered rather than kept in the zone: where the fleet is crowded, or where the
         balancers are more than the servers, so that own tunnels hardly tell where a group is.
-
-        Guards against groups that are scattered over a large fleet, above all after a mass arrival.
-        """
+        Guards against groups that are scattered over a large fleet, above all after a mass arrival."""
         return self.balancers > len(self.live) or (self.mean_load or 0.0) * ABOVE > FULL_LEAST
 
     @staticmethod
@@ -396,8 +394,11 @@
         """The first ready servers in an order of the group's own, the same at all balancers: a group comes
         together though none of them sees the others' tunnels, and goes on to the next ones as these fill.
         """
-        mark = _mark(tun.group)
-        return nsmallest(HOME, ready, key=lambda ep: (mark ^ ep.mark) * MIX & WORD)
+        return nsmallest(HOME, ready, key=lambda ep: Balancer._far(tun.group, ep))
+
+    @staticmethod
+    def _far(group: str, ep: Server) -> int:
+        return (_mark(group) ^ ep.mark) * MIX & WORD
 
     def _offer(self, tun: Tunnel, now: float) -> None:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must.
@@ -466,14 +467,11 @@
 
     def _steer(self, now: float) -> None:
         """SR_dyn: the end of a window. c moves a step toward half acceptance; the counts start again."""
-        ratio = self.accepted / self.offers
+        ratio = self.accepted / self.offers if self.offers >= WINDOW_LEAST else (LOW + HIGH) / 2
         if ratio < LOW and self.c < max(self.top, self.top_before):
             self.c = min(self.c + self.step, max(self.top, self.top_before))
         elif ratio > HIGH and self.c > 0:
             self.c = max(0.0, self.c - self.step)
-        self._open_window(now)
-
-    def _open_window(self, now: float) -> None:
         self.offers, self.accepted, self.window_at = 0, 0, now
 
     # Tunnels.
@@ -609,14 +607,14 @@
         """Guards against a tunnel that grows heavy while its server's last report still looks well."""
         if tun.state is State.OPEN:
             ep = tun.setups[-1].ep
-            usual = self._usual(ep)
+            usual = self._usual(ep.tunnels)
             if (load - (tun.load or usual)) * self.load_unit >= NEWS * usual:
                 ep.probe_due = min(ep.probe_due, now + LATE * self.goal)
         tun.load = load
 
     @staticmethod
-    def _usual(ep: Server) -> float:
-        known = [tun.load for tun in ep.tunnels if tun.load]
+    def _usual(tunnels: Iterable[Tunnel]) -> float:
+        known = [tun.load for tun in tunnels if tun.load]
         return sum(known) / len(known) if known else 1.0
 
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
@@ -673,24 +671,29 @@
         Guards against a server asked for more than it can do: it would answer no messages in time and drop
         tunnels anyway. All hear the same load, so the same part of each one's tunnels takes it to the level.
         That follows the median load of a crowded fleet. Guards against clients that are sent round and round.
+        A server asked for more than it can do gives up whole groups, those least at home here first, as all
+        balancers do. Guards against one that is held down by what its groups cost, which light tunnels keep.
         """
         if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
         if len(ep.tunnels) > SEVERAL:  # whether it was enough
             ep.probe_due = min(ep.probe_due, now + SETTLE * self.goal)
-        part = 1.0 - self.level / ep.full_load
-        usual = self._usual(ep)
-        excess = part * sum(tun.load or usual for tun in ep.tunnels)
-        # The heaviest first, else the newest: the fewest clients are sent round.
-        order = sorted(reversed(ep.tunnels), key=lambda tun: -tun.load)
-        for tun in order:
-            weight = tun.load or usual
-            if excess < weight * self.chance():
+        whole, usual = ep.full_load >= 1.0, self._usual(ep.tunnels)
+        cost = self._usual(tun for at in self.live for tun in at.tunnels)  # about what a group costs
+        units: dict[Tunnel | str, list[Tunnel]] = {}
+        for tun in reversed(ep.tunnels):
+            units.setdefault((whole and tun.group) or tun, []).append(tun)
+        weight = {u: sum(t.load or usual for t in units[u]) + cost * isinstance(u, str) for u in units}
+        excess = (1.0 - self.level / ep.full_load) * sum(weight.values())
+        # Else the heaviest first, then the newest: the fewest clients are sent round.
+        for unit in sorted(units, key=lambda u: -self._far(u, ep) if isinstance(u, str) else -u.load):
+            if excess < weight[unit] * self.chance():
                 break
-            excess -= weight
-            tun.to(State.ENDED)
-            self.host.move(tun)
+            excess -= weight[unit]
+            for tun in units[unit]:
+                tun.to(State.ENDED)
+                self.host.move(tun)
 
     # By the clock.
 
@@ -718,10 +721,7 @@
         if self.asks and not self.watching and now >= self.ask_due:
             self._ask(now)
         if now - self.window_at >= WINDOW_TIME:
-            if self.offers >= WINDOW_LEAST:
-                self._steer(now)
-            else:
-                self._open_window(now)
+            self._steer(now)
         if now - self.top_at >= LONG:
             self.top_before, self.top, self.top_at = self.top, 0.0, now
         self._learn(span)
@@ -754,8 +754,7 @@
     def _probe(self, now: float) -> None:
         """Probes each server so often that these probes cost a set part of the credit asked for."""
         live = self.live
-        every = len(live) * self.probe_price / (max(self.rate, 0.01) * PROBE_SPEND)
-        every = max(every, 2 * self.pace)
+        every = max(len(live) * self.probe_price / (max(self.rate, 0.01) * PROBE_SPEND), 2 * self.pace)
         self._take_part(every)
         every = every * len(self.part or live) / max(1, len(live))
         for ep in self._by_chance():
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,7 +7,7 @@
 from helpers import balancer, cold, tunnel
 
 from pointgw.interface import Listed, Profile
-from pointgw.policy import COLD_SAFE, FULL, HOME, LEVEL, OVER, PROBE_SPEND, SEVERAL, Setup, State
+from pointgw.policy import COLD_SAFE, FULL, HOME, LEVEL, OVER, PROBE_SPEND, SEVERAL, Balancer, Setup, State
 
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
@@ -209,6 +209,21 @@
     assert bal.level == pytest.approx(level)
 
 
+def test_a_server_asked_for_more_than_it_can_do_gives_up_whole_groups() -> None:
+    # Guards against one that stays overdriven by what groups cost after its heaviest tunnels have gone.
+    bal, notes, (ep,) = balancer([2 * FULL])
+    for i in range(12):
+        tun = tunnel(bal, group=f"g{i % 4}")
+        bal.inherited(tun, ep, 100.0)
+        tun.load = 10.0 if i < 2 else 0.1
+    away = sorted({t.group for t in ep.tunnels}, key=lambda group: Balancer._far(group, ep))
+    bal.probed(ep, "ok", {"load": 2 * FULL}, 110.0)
+    left = {t.group for t in ep.tunnels}
+    assert "move" in notes.words() and 0 < len(left) < 4
+    assert left == set(away[: len(left)])  # the same ones leave it at all balancers
+    assert all(sum(t.group == group for t in ep.tunnels) == 3 for group in left)
+
+
 def test_what_has_ended_or_moved_off_makes_no_room_before_a_report_shows_it() -> None:
     # One tunnel gone is not the mean tunnel's load gone: its group stays, and others were let in for it.
     bal, _, (ep, _) = balancer([0.9, 0.5])
