Waiting tunnels raise the limit, have full servers asked; others counted by rates

Checked by a trace with what each server was reckoned at, every 0.15 s: reports of 0.15 to 0.40 while all five count as full, as (1) the limit follows the fleet's mean and had sunk to 0.50, (2) one server told 0.60 at 17.0 and was not asked again until 20.0, though the purse held 40 probes, (3) each own placement counted for both balancers, while the other placed none. Also a spin of timers that came early and a second chain of them (node.py, one timer was never taken back). Ruled out: the purse, suspended servers (none), cold ones (none), the list.

At fault: `_learn` (limit), `_probe` (who is asked), `_added` (each placement times balancers), node.py `Wake`. Now the limit is its top and full servers are asked again while a tunnel waits; a server's told rate of setups bounds how many balancers place there as this one does.

--- a/pointgw/interface.py
+++ b/pointgw/interface.py
@@ -54,6 +54,7 @@
     tip_multiple: float
     tip_span: float
     probe_price: float
+    shares: float = 0.0  # open tunnels, at all balancers, that the tenants' shares allow; 0: not told
 
 
 class Listed(NamedTuple):
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -31,6 +31,7 @@
 FIRST_LINE = 0.5  # of the longest client timeout: how long a client may say nothing that can be used
 SPARE = 1 / 8  # of the descriptors that are kept free of clients that say nothing
 OWN_FILES = 16  # descriptors of the process itself
+LEAST = 0.001  # seconds: what the loop's clock can tell apart
 LOGGED = 10  # faults of a kind that are logged with a traceback
 
 _log = logging.getLogger("pointgw.node")
@@ -57,6 +58,7 @@
         self.numbers = count()
         self.queue: deque[Event] = deque()
         self.feeding = False
+        self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
         self.ended: asyncio.Future[None] = loop.create_future()
 
@@ -197,7 +199,9 @@
             case fx.Ask():
                 self.discovery.ask(effect)
             case fx.Wake():
-                self.loop.call_later(effect.delay, self.feed, Tick())
+                if self.timer is not None:  # an earlier one takes its place
+                    self.timer.cancel()
+                self.timer = self.loop.call_later(max(effect.delay, LEAST), self.feed, Tick())
             case fx.StopIn():
                 self.loop.call_later(effect.delay, self.feed, Stopping())
             case fx.Exit():
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -128,9 +128,9 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups", "heard_at",
-        "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "reckoned", "shed_at",
-        "started", "strikes", "trying", "tunnels", "waiting", "warm_at", "zone",
+        "active", "alike", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups",
+        "heard_at", "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "reckoned",
+        "shed_at", "started", "strikes", "trying", "tunnels", "waiting", "warm_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -150,6 +150,7 @@
         """A process that has just started is not what the one before it was."""
         self.busy: float | None = None  # of the latest report; None: unheard
         self.full_load = 0.0  # load over capacity of the latest report
+        self.alike = 0.0  # balancers that place here as this one does, as that report tells; 0: not told
         self.heard_at = self.asked_at = -inf  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
         self.shed_at = 0.0  # when tunnels were last moved off
@@ -168,7 +169,7 @@
         self.uniform, self.choice, self.chance = rng.uniform, rng.choice, rng.random
         self.servers: dict[str, Server] = {}
         self.profiles = site.profiles
-        self.balancers, self.zone = max(1, site.balancers), site.zone
+        self.balancers, self.zone, self.shares = max(1, site.balancers), site.zone, site.shares
         self.max_setups = max(1, site.max_setups)
         self.may_call_off, self.come_back = site.may_call_off, site.come_back
         # The shortest setup goal sets the pace of what is done by the clock.
@@ -180,18 +181,15 @@
         self.tip_multiple, self.tip_span = site.tip_multiple, site.tip_span
         # The server list, where it must be asked.
         self.asks, self.ask_every = site.asks, site.ask_every
-        self.watching = False
-        self.ask_due, self.ask_wait = now, site.ask_every / 8
+        self.watching, self.ask_due, self.ask_wait = False, now, site.ask_every / 8
         # SR_dyn.
         self.fraction = "connections" not in site.fields
         self.c, self.c_started = 1.0, False
         self.offers = self.accepted = 0
-        self.window_at = self.top_at = now
-        self.top = self.top_before = 0.0
+        self.window_at, self.top_at, self.top, self.top_before = now, now, 0.0, 0.0
         self.step = self.unit = STEP if self.fraction else 1.0  # unit: what one placement adds to busy
-        self.load_unit = STEP  # what one tunnel adds to the load of a server
-        self.full = FULL
-        self.level = FULL  # the load that moves take a server down to
+        self.load_unit = STEP  # what one tunnel adds to the load of a server, until the list and reports tell
+        self.full = self.level = FULL  # the load at which a server is full; that moves take it down to
         self.mean_load: float | None = None
         self.mean_busy = 0.0
         # What a tunnel's life is, from the time own tunnels were open and how many ended by themselves.
@@ -244,6 +242,7 @@
             self.live, self.part = sorted(active, key=lambda ep: (ep.mark, ep.name)), None
         if not self.rate:
             self.rate = START_RATE * max(1, len(self.live)) / self.balancers
+            self.load_unit = min(STEP, len(self.live) / self.shares) if self.shares else STEP
             self._earn(PROBE_SPEND * self.rate * LONG)
         if cached and self.asks and not self.watching:
             self._ask(now)
@@ -290,15 +289,14 @@
         ep.reckoned = -inf if load is None else load + self._added(ep)  # with no report at all, all have room
 
     def _added(self, ep: Server) -> float:
-        """Load that all balancers are likely to have added since, each as this one did."""
-        return len(ep.recent) * (self.load_unit * self.balancers)
+        """Load that all balancers have likely added since: each as this one did, or as a report tells."""
+        return len(ep.recent) * self.load_unit * (ep.alike or self.balancers)
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel.
 
         A share that takes long to hold a whole tunnel lapses once it has held one for the tip span. Guards
-        against many balancers that have all kept a tunnel and send it at the same moment.
-        """
+        against many balancers that have all kept a tunnel and send it at the same moment."""
         if ep.warm_at <= now:
             return True
         age = now - ep.started
@@ -392,8 +390,7 @@
     @staticmethod
     def _home(tun: Tunnel, ready: list[Server]) -> list[Server]:
         """The first ready servers in an order of the group's own, the same at all balancers: a group comes
-        together though none of them sees the others' tunnels, and goes on to the next ones as these fill.
-        """
+        together though none of them sees the others' tunnels, and goes on to the next ones as these fill."""
         return nsmallest(HOME, ready, key=lambda ep: Balancer._far(tun.group, ep))
 
     @staticmethod
@@ -403,8 +400,7 @@
     def _offer(self, tun: Tunnel, now: float) -> None:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must.
 
-        A candidate whose report is old is asked first; one that has no room then is drawn anew.
-        """
+        A candidate whose report is old is asked first; one that has no room then is drawn anew."""
         first, mean = tun.drawn[0], self.mean_busy
         taken = False
         for ep in tun.drawn:
@@ -429,8 +425,7 @@
     def _earn(self, spend: float) -> None:
         """Probes are paid from the credit of own tunnels; two rounds and what open ones pay are kept.
 
-        Guards against many balancers that each probe a fleet at a pace which none of them pays for.
-        """
+        Guards against many balancers that each probe a fleet at a pace which none of them pays for."""
         top = 2 * max(ASKED, len(self.live)) * self.probe_price
         top += PROBE_SPEND * sum(max(0, len(ep.tunnels) - SEVERAL) for ep in self.live)
         self.purse = min(self.purse + spend, top)
@@ -445,7 +440,6 @@
             self.host.probe(ep)
 
     def _told(self, ep: Server, now: float) -> None:
-        """An asked server has answered or failed: the tunnels that wait for it go on."""
         waiting, ep.waiting = ep.waiting, []
         for tun in waiting:
             if tun.state is not State.ASKING:
@@ -459,8 +453,7 @@
     def _start_c(self) -> None:
         """c starts anew at the median of the first figures heard, which is half acceptance already.
 
-        Guards against a c that stays far from the figures all day, where each offer is plain chance.
-        """
+        Guards against a c that stays far from the figures all day, where each offer is plain chance."""
         heard = sorted(ep.busy or 0.0 for ep in self._heard_of())
         if 2 * len(heard) > len(self.live):
             self.c, self.c_started = heard[len(heard) // 2], True
@@ -541,7 +534,6 @@
         self.host.setup(tun, ep, min(tun.profile.setup_goal, tun.deadline - now))
 
     def _answer(self, tun: Tunnel, now: float) -> None:
-        """The final answer of a tunnel that was given up."""
         self.held.pop(tun, None)
         tun.to(State.ENDED)
         if self.may_decline(tun) and now < tun.deadline + self.margin:
@@ -620,8 +612,7 @@
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
         """Messages at its server take long: its load is asked for, as it may have changed.
 
-        Guards against a noisy neighbour, which slows a server while its last report still looks well.
-        """
+        Guards against a noisy neighbour, which slows a server while its last report still looks well."""
         if tun.state is State.OPEN and delay > self.goal:
             ep = tun.setups[-1].ep
             ep.probe_due = min(ep.probe_due, max(now, ep.heard_at + self.goal))
@@ -636,7 +627,6 @@
     # Health.
 
     def _struck(self, ep: Server, now: float) -> None:
-        """A failure: not ready for a while, longer each time, so that it is tried seldom."""
         if ep.out_until <= now:
             ep.strikes = min(ep.strikes + 1, 4)
             ep.out_until = now + self.goal * 4 * 2**ep.strikes * self.uniform(0.8, 1.2)
@@ -660,7 +650,11 @@
                 ep.busy = report[word]
                 break
         # Guards against reports that are late: what was placed just before is not in them yet.
-        ep.recent = [at for at in ep.recent if at > now - LATE * self.goal]
+        late = LATE * self.goal
+        ep.recent = [at for at in ep.recent if at > now - late]
+        # Guards one balancer that takes all of another's clients: the others place nothing meanwhile.
+        told = report.get("rate", 0.0) * late / max(1, len(ep.recent))
+        ep.alike = min(max(1.0, told), self.balancers) if told and len(ep.recent) >= SEVERAL else 0.0
         self._reckon(ep)
         if not self.c_started:
             self._start_c()
@@ -712,7 +706,6 @@
         self._wake(now, self.pace if self.held else max(self.round_due - now, self.pace))
 
     def _round(self, now: float) -> None:
-        """What is done once a setup goal, with or without tunnels."""
         span, self.round_at = now - self.round_at, now
         self.round_due = now + self.goal
         weight = min(1.0, span / LONG)
@@ -735,14 +728,17 @@
         if heard:
             self.mean_load = total / len(heard)
             self.mean_busy = sum(self._busy(ep, 0.0) for ep in heard) / len(heard)
-            self.full = min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
+            # Guards against tunnels that wait while no server is near its top.
+            self.full = FULL if self._waits() else min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
             median = sorted(ep.full_load for ep in heard)[len(heard) // 2]
             self.level = min(max(self.full, median), LEVEL)
         count = sum(len(ep.tunnels) for ep in heard)
         self.open_time += count * span
         if count >= 2 * len(heard) > 0:
-            # Never nought, also where the servers report no load at all.
-            self.load_unit = max(total / (count * self.balancers), STEP / 100) if total else STEP
+            # Never nought, also where the servers report no load at all. It rises slowly: guards one that has
+            # just started, holds few tunnels where the others hold many, and would find all servers full.
+            seen = max(total / (count * self.balancers), STEP / 100) if total else STEP
+            self.load_unit = min(seen, self.load_unit + (seen - self.load_unit) * min(1.0, span / LONG))
             self.unit = self.load_unit if self.fraction else self.unit
         for ep in self.live:
             self._reckon(ep)
@@ -757,8 +753,11 @@
         every = max(len(live) * self.probe_price / (max(self.rate, 0.01) * PROBE_SPEND), 2 * self.pace)
         self._take_part(every)
         every = every * len(self.part or live) / max(1, len(live))
+        waits = self._waits()
         for ep in self._by_chance():
-            news = self._added(ep) >= NEWS and now - ep.heard_at >= self.goal
+            # Guards against tunnels that wait for servers which have long had room again.
+            news = self._added(ep) >= NEWS or (waits and ep.reckoned >= self.full)
+            news = news and now - ep.heard_at >= self.goal
             if (news or ep.probe_due <= now) and not ep.probing and self._may_ask(ASKED):
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
                 wait = min(every, LATE * self.goal) if ep.busy is None else every
@@ -770,8 +769,7 @@
         reports of all servers, a balancer takes every n-th of the sorted list from a start of its own.
 
         Sorted by mark, so that no stride falls in step with zones or kinds. As many balancers as leave no
-        server without one share a part. Elsewhere any server can be used, as it is asked when it is drawn.
-        """
+        server without one share a part. Elsewhere any server can be used, as it is asked when it is drawn."""
         n = 1
         if self.may_probe and 2 * self.probe_price > PROBE_SPEND + ASK_SPEND:
             n = min(int(every / LONG), len(self.live) // PART_LEAST, self.balancers // PART_LEAST)
@@ -783,6 +781,9 @@
         start = int(self.chance() * len(live))
         return live[start:] + live[:start]
 
+    def _waits(self) -> bool:
+        return any(tun.state is State.HELD for tun in self.held)
+
     def _serve_held(self, now: float) -> None:
         none_ready = False  # for tunnels that may go anywhere: then they need not all look
         for tun in list(self.held):
--- a/pointgw/site.py
+++ b/pointgw/site.py
@@ -141,4 +141,5 @@
         tip_multiple=number(conf, "rules.tipMultiple", 1.0),
         tip_span=seconds(conf, "rules.fall", 1.0),
         probe_price=number(conf, "prices.probe", 0.0),
+        shares=sum(_list(conf, "domain.tenantQuotaConnections", float)),
     )
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+from math import inf
 from random import Random
 from typing import Any
 
@@ -7,7 +8,20 @@
 from helpers import balancer, cold, tunnel
 
 from pointgw.interface import Listed, Profile
-from pointgw.policy import COLD_SAFE, FULL, HOME, LEVEL, OVER, PROBE_SPEND, SEVERAL, Balancer, Setup, State
+from pointgw.policy import (
+    COLD_SAFE,
+    FULL,
+    FULL_LEAST,
+    HOME,
+    LEVEL,
+    LONG,
+    OVER,
+    PROBE_SPEND,
+    SEVERAL,
+    Balancer,
+    Setup,
+    State,
+)
 
 
 @pytest.mark.parametrize(("busy", "c", "takes"), [(0.49, 0.5, 0), (0.5, 0.5, 1), (0.0, 0.0, 1)])
@@ -224,6 +238,54 @@
     assert all(sum(t.group == group for t in ep.tunnels) == 3 for group in left)
 
 
+@pytest.mark.parametrize(("waits", "full"), [(False, FULL_LEAST), (True, FULL)])
+def test_the_limit_is_its_top_while_a_tunnel_waits(waits: bool, full: float) -> None:
+    # Guards against tunnels that are declined though no server is near its top.
+    bal, _, servers = balancer([0.2, 0.2])
+    for ep in servers:
+        ep.full_load, ep.probe_due = 0.2, inf
+        ep.reckoned = 0.9
+    if waits:
+        bal._hold(tunnel(bal), 100.0)
+    bal._learn(0.5)
+    assert bal.full == full
+
+
+def test_full_servers_are_asked_again_while_a_tunnel_waits() -> None:
+    # Guards against servers that have long had room again and are not asked before their turn by the clock.
+    bal, notes, servers = balancer([0.9, 0.2])
+    for ep in servers:
+        ep.probe_due, ep.reckoned = inf, ep.busy or 0.0
+    bal.purse = 1.0
+    bal._probe(110.0)
+    assert notes.words() == []
+    bal._hold(tunnel(bal), 110.0)
+    bal._probe(110.0)
+    assert notes.asked == [("probe", servers[0])]
+
+
+@pytest.mark.parametrize(("rate", "alike"), [(0.0, 0.0), (4.0, 1.0), (6.0, 1.5), (90.0, 2.0)])
+def test_the_servers_rate_tells_whether_other_balancers_place_there(rate: float, alike: float) -> None:
+    # Guards a balancer that takes all of another's clients from finding all servers full.
+    bal, _, (ep,) = balancer([0.2])
+    ep.recent = [100.0, 100.2, 100.4, 100.6]
+    bal._heard(ep, {"load": 0.2, "rate": rate}, 100.7)
+    assert ep.alike == pytest.approx(alike)
+    assert bal._added(ep) == pytest.approx(4 * bal.load_unit * (alike or 2))
+
+
+def test_what_a_tunnel_adds_starts_from_the_shares_and_rises_slowly() -> None:
+    # Guards one that has just started: the others hold many tunnels where it holds few.
+    bal, _, servers = balancer([0.5, 0.5], shares=100.0)
+    assert bal.load_unit == pytest.approx(2 / 100)
+    for ep in servers:
+        ep.full_load = 0.5
+        for _ in range(2):
+            bal.inherited(tunnel(bal), ep, 100.0)
+    bal._learn(0.3)  # 1.0 over four tunnels here and as many at the other balancer
+    assert bal.load_unit == pytest.approx(0.02 + (0.125 - 0.02) * 0.3 / LONG)
+
+
 def test_what_has_ended_or_moved_off_makes_no_room_before_a_report_shows_it() -> None:
     # One tunnel gone is not the mean tunnel's load gone: its group stays, and others were let in for it.
     bal, _, (ep, _) = balancer([0.9, 0.5])
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -17,6 +17,8 @@
 import uvloop
 
 from pointgw.__main__ import main
+from pointgw.net.memory.effects import Effect, Wake
+from pointgw.net.memory.events import Event, Tick
 from pointgw.net.run import ends
 from pointgw.net.run.log import KeyValue
 from pointgw.net.run.node import Node
@@ -300,6 +302,25 @@
     with_node(echo, scene)
 
 
+def test_one_timer_is_out_at_a_time() -> None:
+    # Guards the CPU against timers that were overtaken and each set another.
+    async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        ticks = 0
+
+        def take(event: Event, now: float) -> list[Effect]:
+            nonlocal ticks
+            ticks += isinstance(event, Tick)
+            return []
+
+        node.reducer.take = take  # type: ignore[method-assign]
+        for delay in (0.3, 0.2, 0.0, 0.1):
+            node._carry_out([Wake(delay)])
+        await asyncio.sleep(0.4)
+        assert ticks == 1
+
+    with_node(echo, scene)
+
+
 def test_want_of_descriptors_is_not_a_servers_fault() -> None:
     assert ends.no_connection(OSError(errno.EMFILE, "")) == "moot"
     assert ends.no_connection(ConnectionRefusedError(errno.ECONNREFUSED, "")) == "no-connection"
