--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -128,7 +128,7 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "alike", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups",
+        "active", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups",
         "heard_at", "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "reckoned",
         "shed_at", "started", "strikes", "trying", "tunnels", "waiting", "warm_at", "zone",
     )  # fmt: skip
@@ -150,7 +150,6 @@
         """A process that has just started is not what the one before it was."""
         self.busy: float | None = None  # of the latest report; None: unheard
         self.full_load = 0.0  # load over capacity of the latest report
-        self.alike = 0.0  # balancers that place here as this one does, as that report tells; 0: not told
         self.heard_at = self.asked_at = -inf  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
         self.shed_at = 0.0  # when tunnels were last moved off
@@ -289,8 +288,8 @@
         ep.reckoned = -inf if load is None else load + self._added(ep)  # with no report at all, all have room
 
     def _added(self, ep: Server) -> float:
-        """Load that all balancers have likely added since: each as this one did, or as a report tells."""
-        return len(ep.recent) * self.load_unit * (ep.alike or self.balancers)
+        """Load that all balancers are likely to have added since, each as this one did."""
+        return len(ep.recent) * (self.load_unit * self.balancers)
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel.
@@ -650,11 +649,7 @@
                 ep.busy = report[word]
                 break
         # Guards against reports that are late: what was placed just before is not in them yet.
-        late = LATE * self.goal
-        ep.recent = [at for at in ep.recent if at > now - late]
-        # Guards one balancer that takes all of another's clients: the others place nothing meanwhile.
-        told = report.get("rate", 0.0) * late / max(1, len(ep.recent))
-        ep.alike = min(max(1.0, told), self.balancers) if told and len(ep.recent) >= SEVERAL else 0.0
+        ep.recent = [at for at in ep.recent if at > now - LATE * self.goal]
         self._reckon(ep)
         if not self.c_started:
             self._start_c()
@@ -665,15 +660,16 @@
         Guards against a server asked for more than it can do: it would answer no messages in time and drop
         tunnels anyway. All hear the same load, so the same part of each one's tunnels takes it to the level.
         That follows the median load of a crowded fleet. Guards against clients that are sent round and round.
-        A server asked for more than it can do gives up whole groups, those least at home here first, as all
-        balancers do. Guards against one that is held down by what its groups cost, which light tunnels keep.
+        Where the median is under its top, a server asked for more than it can do gives up whole groups, those
+        least at home here first, as all balancers do. Guards against one that is held down by what its groups
+        cost, which light tunnels keep.
         """
         if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
         if len(ep.tunnels) > SEVERAL:  # whether it was enough
             ep.probe_due = min(ep.probe_due, now + SETTLE * self.goal)
-        whole, usual = ep.full_load >= 1.0, self._usual(ep.tunnels)
+        whole, usual = ep.full_load >= 1.0 and self.level < LEVEL, self._usual(ep.tunnels)
         cost = self._usual(tun for at in self.live for tun in at.tunnels)  # about what a group costs
         units: dict[Tunnel | str, list[Tunnel]] = {}
         for tun in reversed(ep.tunnels):
@@ -756,8 +752,10 @@
         waits = self._waits()
         for ep in self._by_chance():
             # Guards against tunnels that wait for servers which have long had room again.
-            news = self._added(ep) >= NEWS or (waits and ep.reckoned >= self.full)
-            news = news and now - ep.heard_at >= self.goal
+            age = now - ep.heard_at
+            news = age >= self.goal and self._added(ep) >= NEWS
+            if waits and ep.reckoned >= self.full and age >= self.goal:
+                news, waits = True, False
             if (news or ep.probe_due <= now) and not ep.probing and self._may_ask(ASKED):
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
                 wait = min(every, LATE * self.goal) if ep.busy is None else every
