--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -165,7 +165,7 @@
 
 
 def test_a_watch_that_falls_silent_is_noticed_within_the_ask_interval() -> None:
-    # Guards against a list that stays as it was for tens of seconds while discovery's connection says nothing.
+    # Guards against a list that stays as it was for tens of seconds while discovery says nothing.
     red = reducer()
     assert 0 < red.hold + SPARE < red.balancer.ask_every
 
