Full servers asked for waiting tunnels where servers outnumber balancers; spoilt tunnels

At fault: `_probe` (condition on the purse, meant for 37 balancers before 12 servers), `ended` (every error is held against the server). Now the condition is that servers are no fewer than balancers; a tunnel that a second server fails is given up at once and the first is ready again.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -79,12 +79,12 @@
 class Setup:
     """One try to set a tunnel up at a server."""
 
-    __slots__ = ("began", "ep", "may_have_run", "out", "sent_at")
+    __slots__ = ("began", "ep", "erred", "may_have_run", "out", "sent_at")
 
     def __init__(self, ep: Server, now: float) -> None:
         self.ep, self.sent_at = ep, now
         self.out, self.may_have_run = True, True
-        self.began = False  # the tunnel was opened by it
+        self.began = self.erred = False  # the tunnel was opened by it; it ended in an error
 
 
 class Tunnel:
@@ -279,7 +279,6 @@
     def _reckon(self, ep: Server) -> None:
         """The load that tells whether a server has room: the reported one, with what all balancers are likely
         to have added since. It has room under FULL.
-
         Guards against balancers that fill the same server between two reports, and against overload: an
         overdriven server serves nobody and drops what it holds, which comes again at once. What ended or was
         moved off makes no room before a report shows it: its group may stay, and the server would stay full.
@@ -423,7 +422,6 @@
 
     def _earn(self, spend: float) -> None:
         """Probes are paid from the credit of own tunnels; two rounds and what open ones pay are kept.
-
         Guards against many balancers that each probe a fleet at a pace which none of them pays for."""
         top = 2 * max(ASKED, len(self.live)) * self.probe_price
         top += PROBE_SPEND * sum(max(0, len(ep.tunnels) - SEVERAL) for ep in self.live)
@@ -451,7 +449,6 @@
 
     def _start_c(self) -> None:
         """c starts anew at the median of the first figures heard, which is half acceptance already.
-
         Guards against a c that stays far from the figures all day, where each offer is plain chance."""
         heard = sorted(ep.busy or 0.0 for ep in self._heard_of())
         if 2 * len(heard) > len(self.live):
@@ -559,9 +556,15 @@
         setup.ep.trying -= not was_open
         if report:
             self._heard(setup.ep, report, now)
-        if was_open and ending == "ok":
-            self.ended_well += 1
-        if ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
+        self.ended_well += was_open and ending == "ok"
+        setup.erred = ending == "error" and not was_open
+        blamed = [s.ep for s in tun.setups[:number] if s.erred and s.ep is not setup.ep]
+        spoilt = setup.erred and bool(blamed)
+        if spoilt:
+            # Guards the servers' standing against a tunnel that each of them fails: no third one is tried.
+            for ep in blamed:
+                ep.out_until, ep.strikes = now, max(0, ep.strikes - 1)
+        elif ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
             self._struck(setup.ep, now)
         if tun.state is State.ENDED:
             return
@@ -574,7 +577,7 @@
                 self._reckon(setup.ep)
             tun.to(State.HELD)
             # Guards against a storm of our own making: where little is opened, little is tried again.
-            if self.retries >= 1.0:
+            if self.retries >= 1.0 and not spoilt:
                 self.retries -= 1.0
                 self._place(tun, now)
             else:
@@ -610,7 +613,6 @@
 
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
         """Messages at its server take long: its load is asked for, as it may have changed.
-
         Guards against a noisy neighbour, which slows a server while its last report still looks well."""
         if tun.state is State.OPEN and delay > self.goal:
             ep = tun.setups[-1].ep
@@ -656,13 +658,11 @@
 
     def _shed(self, ep: Server, now: float) -> None:
         """Moves this balancer's share of what a server holds too much.
-
         Guards against a server asked for more than it can do: it would answer no messages in time and drop
         tunnels anyway. All hear the same load, so the same part of each one's tunnels takes it to the level.
         That follows the median load of a crowded fleet. Guards against clients that are sent round and round.
         Where the median is under its top, one asked for more than it can do gives up whole groups, the least
-        at home first at all balancers. Guards against what groups cost, which light tunnels keep.
-        """
+        at home first at all balancers. Guards against what groups cost, which light tunnels keep."""
         if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
@@ -751,12 +751,12 @@
         every = max(len(live) * self.probe_price / (max(self.rate, 0.01) * PROBE_SPEND), 2 * self.pace)
         self._take_part(every)
         every = every * len(self.part or live) / max(1, len(live))
-        waits = self._waits()
+        waits = self.balancers <= len(live) and self._waits()  # else each asks for too few tunnels
         for ep in self._by_chance():
             # Guards against tunnels that wait for servers which have long had room again.
             age = now - ep.heard_at
             news = age >= self.goal and self._added(ep) >= NEWS
-            if waits and ep.reckoned >= self.full and age >= self.goal and self._may_ask(len(live)):
+            if waits and ep.reckoned >= self.full and age >= self.goal:
                 news, waits = True, False
             if (news or ep.probe_due <= now) and not ep.probing and self._may_ask(ASKED):
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -258,7 +258,7 @@
 
 def test_a_full_server_is_asked_again_while_a_tunnel_waits() -> None:
     # Guards against servers that have long had room again and are not asked before their turn by the clock.
-    bal, notes, servers = balancer([0.9, 0.2, 0.9])
+    bal, notes, servers = balancer([0.9, 0.2, 0.9], balancers=3)
     for ep in servers:
         ep.probe_due, ep.reckoned = inf, ep.busy or 0.0
     bal.purse = 1.0
@@ -461,6 +461,18 @@
     assert bal._candidates(tunnel(bal), 100.1) == servers[1:]
 
 
+def test_a_tunnel_that_two_servers_fail_is_given_up_and_not_held_against_them() -> None:
+    # Guards servers' standing against a client whose line each of them fails: all would be suspended in turn.
+    bal, notes, servers = balancer([0.1, 0.1, 0.1])
+    tun = tunnel(bal)
+    bal._place(tun, 100.0)
+    for number in range(2):
+        bal.ended(tun, number, "error", False, {}, 100.1)
+    assert tun.setups[0].ep is not tun.setups[1].ep
+    assert notes.words() == ["setup", "setup", "decline"]
+    assert not any(ep.out_until > 100.1 for ep in servers)
+
+
 def test_further_setups_are_also_earned_by_the_clock() -> None:
     # Guards tunnels on a quiet day, where hardly any opens, from being declined at their first failure.
     bal, _, _ = balancer([0.5])
