--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -661,14 +661,14 @@
         Guards against a server asked for more than it can do: it would answer no messages in time and drop
         tunnels anyway. All hear the same load, so the same part of each one's tunnels takes it to the level.
         That follows the median load of a crowded fleet. Guards against clients that are sent round and round.
-        Where several stand, one asked for more than it can do gives up whole groups, the least at home first
-        at all balancers. Guards against what groups cost, which light tunnels keep."""
+        Where the median is under its top, one asked for more than it can do gives up whole groups, the least
+        at home first at all balancers. Guards against what groups cost, which light tunnels keep."""
         if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
             return
         ep.shed_at = now
         if len(ep.tunnels) > SEVERAL:  # whether it was enough
             ep.probe_due = min(ep.probe_due, now + SETTLE * self.goal)
-        whole = ep.full_load >= 1.0 and len(ep.tunnels) > SEVERAL
+        whole = ep.full_load >= 1.0 and self.level < LEVEL and len(ep.tunnels) > SEVERAL
         usual = self._usual(ep.tunnels)
         cost = self._usual(tun for at in self.live for tun in at.tunnels)  # about what a group costs
         units: dict[Tunnel | str, list[Tunnel]] = {}
