Read again: one look for a line's end, the descriptor limit out of the wire, one way to read the file

No change of behaviour. `lines.cut` looks no further than a line may reach, in place of two conditions on a search of the whole buffer. The process's own descriptor limit is asked for in net/run, as net/wire is pure and only decodes what it is told. The file is read by one function at start and at a reload, which `Node` always has. `DiscoverySide.retire` said `_over` again under another name. The longest client timeout is worked out once, in the reducer.

Seen and left: messages in net/memory and net/wire are alike in shape only, each its own declaration; `_shed` works out what a group costs also where no group is moved, a few times a minute.

--- a/pointgw/__main__.py
+++ b/pointgw/__main__.py
@@ -9,7 +9,7 @@
 
 from pointgw.net.run import log
 from pointgw.net.run.node import run
-from pointgw.net.wire.start import start
+from pointgw.net.wire.start import Start, start
 from pointgw.site import Malformed
 
 
@@ -19,14 +19,18 @@
     if not path:
         print("pointgw: expected GW_CONFIG to name the start-up file", file=sys.stderr)
         return 2
+
+    def read() -> Start:
+        return start(Path(path).read_bytes())
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is served: the file is read here anyway
     try:
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is served: the file is read here anyway
-        told = start(Path(path).read_bytes())
+        told = read()
     except (OSError, Malformed) as fault:
         print(f"pointgw: {path}: {fault}", file=sys.stderr)
         return 2
     try:
-        run(told, lambda: start(Path(path).read_bytes()))
+        run(told, read)
     except OSError as fault:
         print(f"pointgw: {told.listen[0]}:{told.listen[1]}: {fault}", file=sys.stderr)
         return 1
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -76,8 +76,8 @@
         self.tenants = {name: i for i, name in enumerate(start.tenants)}
         self.connect_within = start.connect_within
         self.hold = HOLD * start.site.ask_every
-        longest = max(p.client_timeout for p in start.site.profiles)
-        self.stop_within = min(longest, LONGEST) + KILL_AFTER - SPARE
+        self.longest = max(p.client_timeout for p in start.site.profiles)
+        self.stop_within = min(self.longest, LONGEST) + KILL_AFTER - SPARE
         self.balancer = Balancer(start.site, self, Random(start.seed), now)
         self.probe_within = self.balancer.goal / 2
         self._list(start.known, True)
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -67,27 +67,24 @@
         except Malformed as fault:
             self._fail(str(fault))
             return
-        self._over(keep=self.response.keeps_alive)
+        self.over(keep=self.response.keeps_alive)
         self.node.feed(Told(told))
 
     def _fail(self, why: str) -> None:
         if self.asked is not None:
-            self._over(keep=False)
+            self.over(keep=False)
             _log.warning("call failed", extra={"fields": {"why": why}})
             self.node.feed(ListFailed())
 
-    def _over(self, keep: bool) -> None:
+    def over(self, keep: bool) -> None:
+        """No call is out any more."""
         self.asked = None
         if self.timer is not None:
             self.timer.cancel()
         if not keep:
-            self.close()
+            self._close()
 
-    def retire(self) -> None:
-        """Another address takes its place."""
-        self._over(keep=False)
-
-    def close(self) -> None:
+    def _close(self) -> None:
         if self.task is not None:
             self.task.cancel()
         transport, self.transport = self.transport, None
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import resource
 import signal
 import time
 from collections import Counter, deque
@@ -39,16 +40,14 @@
 
 
 class Node:
-    def __init__(
-        self, start: Start, loop: asyncio.AbstractEventLoop, again: Callable[[], Start] | None = None
-    ) -> None:
+    def __init__(self, start: Start, loop: asyncio.AbstractEventLoop, again: Callable[[], Start]) -> None:
         self.loop, self.start, self.again = loop, start, again
         self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
         self.reducer = Reducer(start, self.now())
         self.slow_after = self.reducer.balancer.goal / 3
-        longest = max(profile.client_timeout for profile in start.site.profiles)
-        self.first_within = FIRST_LINE * longest
-        self.descriptors = int(start.descriptors * (1 - SPARE)) - OWN_FILES
+        self.first_within = FIRST_LINE * self.reducer.longest
+        self.allowed = _allowed(start.descriptors)
+        self.descriptors = int(self.allowed * (1 - SPARE)) - OWN_FILES
         self.quiet: dict[ClientSide, None] = {}  # those that have asked for no tunnel, oldest first
         self.turned_away: Counter[str] = Counter()
         self.clients: dict[int, ClientSide] = {}
@@ -102,8 +101,8 @@
         self._carry_out(self.reducer.given())
         self._look()
         self._report()
-        on, files = f"{host}:{port}", self.start.descriptors
-        _log.info("serving", extra={"fields": {"name": self.start.name, "on": on, "descriptors": files}})
+        about = {"name": self.start.name, "on": f"{host}:{port}", "descriptors": self.allowed}
+        _log.info("serving", extra={"fields": about})
         await self.ended
         listener.close()
 
@@ -115,7 +114,7 @@
 
     def reload(self) -> None:
         """Takes over what has changed in the start-up file; one that can't be read changes nothing."""
-        if self.stopping or self.again is None:
+        if self.stopping:
             return
         try:
             told = self.again()
@@ -194,7 +193,7 @@
                     self.probes[effect.server] = ProbeSide(self)
                 self.probes[effect.server].ask(effect)
             case fx.Turn():
-                self.discovery.retire()
+                self.discovery.over(keep=False)
                 self.discovery = DiscoverySide(self, effect.address, effect.names)
             case fx.Ask():
                 self.discovery.ask(effect)
@@ -222,6 +221,13 @@
         self.loop.call_later(REPORT, self._report)
 
 
+def _allowed(told: int) -> int:
+    """Descriptors that this process may hold, by what it was told and by its own limit."""
+    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    limit = limit if limit > 0 else 2**20  # -1: no limit
+    return min(told or limit, limit)
+
+
 def run(start: Start, again: Callable[[], Start]) -> None:
     async def main() -> None:
         await Node(start, asyncio.get_running_loop(), again).serve()
--- a/pointgw/net/wire/lines.py
+++ b/pointgw/net/wire/lines.py
@@ -76,10 +76,10 @@
 
 def cut(buffer: bytearray) -> bytes | None:
     """Takes the first whole line off a buffer, without its end; None while there is none."""
-    at = buffer.find(b"\n")
-    if at >= LONGEST or (at < 0 and len(buffer) >= LONGEST):
-        raise Malformed(f"expected a line of at most {LONGEST} bytes")
+    at = buffer.find(b"\n", 0, LONGEST)
     if at < 0:
+        if len(buffer) >= LONGEST:
+            raise Malformed(f"expected a line of at most {LONGEST} bytes")
         return None
     line = bytes(buffer[:at])
     del buffer[: at + 1]
--- a/pointgw/net/wire/start.py
+++ b/pointgw/net/wire/start.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import resource
 from dataclasses import dataclass
 from typing import Any
 
@@ -23,7 +22,7 @@
     profiles: tuple[str, ...]
     tenants: tuple[str, ...]
     connect_within: float
-    descriptors: int  # that this process may hold
+    descriptors: int  # that the platform lets this process hold; 0: not told
     known: Listing
 
 
@@ -62,7 +61,7 @@
             profiles=_names(settings.get("profiles")),
             tenants=_names(settings.get("tenants")),
             connect_within=seconds(fields, "limits.connectTimeout", 0.25),
-            descriptors=_descriptors(told.get("limits") or {}),
+            descriptors=int((told.get("limits") or {}).get("sockets") or 0),
             known=listing(told["known"], names),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
@@ -73,12 +72,6 @@
     return tuple(str(item["name"] if isinstance(item, dict) else item) for item in items or ())
 
 
-def _descriptors(limits: Any) -> int:
-    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    allowed = allowed if allowed > 0 else 2**20  # -1: no limit
-    return min(int(limits.get("sockets") or allowed), allowed)
-
-
 def _address(value: str) -> tuple[str, int]:
     host, _, port = value.rpartition(":")
     return host, int(port)
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -99,7 +99,8 @@
         discovery = await asyncio.start_server(stand_in.discover, "127.0.0.1", 0)
         listen = free_port()
         ports = [server.sockets[0].getsockname()[1] for server in (servers, discovery)]
-        node = Node(start(told(ports[0], ports[1], listen)), asyncio.get_running_loop())
+        told_at_start = start(told(ports[0], ports[1], listen))
+        node = Node(told_at_start, asyncio.get_running_loop(), lambda: told_at_start)
         serving = asyncio.create_task(node.serve())
         await asyncio.sleep(0.1)
         async with asyncio.timeout(10):
