--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PYTHON := .venv/bin/python
 
-.PHONY: build dev test lint check run
+.PHONY: build dev test lint check run demo
 
 build:
 	test -x $(PYTHON) || python3 -m venv .venv
@@ -19,5 +19,8 @@
 check:
 	bash .ci/run
 
+demo: dev
+	$(PYTHON) -m pointgw demo
+
 run: build
 	exec $(PYTHON) -O -m pointgw
--- /dev/null
+++ b/pointgw/checked.py
@@ -0,0 +1,125 @@
+"""Files that people write, in TOML, read into typed structs with all their faults told at once.
+
+Source: msgspec's conversion tells one fault and stops; here each key is converted by itself, so that an
+operator mends a file in one go. An unknown key names the nearest known one.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Any, TypeVar, get_args, get_origin
+
+import msgspec
+
+T = TypeVar("T", bound=msgspec.Struct)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One thing that is wrong in a file."""
+
+    path: str  # of the key, as in "rule[2].share"; nothing: the file itself
+    value: str
+    expected: str
+
+    def line(self, file: str) -> str:
+        shown = f" = {self.value}" if self.value else ""
+        return f"{file}: {self.path or 'the file'}{shown}: expected {self.expected}"
+
+
+class Faulty(Exception):
+    """A file that can't be used. `faults` holds all that is wrong with it."""
+
+    def __init__(self, file: str, faults: list[Fault]) -> None:
+        super().__init__("; ".join(fault.line(file) for fault in faults))
+        self.file, self.faults = file, faults
+
+
+def read(path: Path, kind: type[T]) -> T:
+    """The file as a struct. Raises `Faulty` with every fault, also where it can't be opened."""
+    return convert(read_toml(path), kind, str(path))
+
+
+def read_toml(path: Path) -> dict[str, Any]:
+    try:
+        return tomllib.loads(path.read_text("utf-8"))
+    except OSError as fault:
+        raise Faulty(str(path), [Fault("", "", f"a file that can be read ({fault.strerror})")]) from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+        raise Faulty(str(path), [Fault("", "", f"TOML ({fault})")]) from None
+
+
+def convert(value: dict[str, Any], kind: type[T], file: str) -> T:
+    faults = list(_faults(value, kind, ""))
+    if faults:
+        raise Faulty(file, faults)
+    made = msgspec.convert(value, kind)
+    # What one key alone can't tell: a struct may have a method that looks at all of its keys.
+    faults = list(_whole(made, ""))
+    if faults:
+        raise Faulty(file, faults)
+    return made
+
+
+def _faults(value: Any, kind: Any, path: str) -> Iterator[Fault]:
+    struct = _struct_of(kind)
+    if struct is None:
+        try:
+            msgspec.convert(value, kind)
+        except msgspec.ValidationError as fault:
+            yield Fault(path, repr(value), _expected(str(fault)))
+    elif get_origin(kind) is list or get_origin(kind) is tuple:
+        if not isinstance(value, list):
+            yield Fault(path, repr(value), "a list of tables")
+            return
+        for i, item in enumerate(value):
+            yield from _faults(item, struct, f"{path}[{i}]")
+    elif not isinstance(value, dict):
+        yield Fault(path, repr(value), "a table")
+    else:
+        fields = {field.encode_name: field for field in msgspec.structs.fields(struct)}
+        for name, inner in value.items():
+            at = f"{path}.{name}" if path else name
+            if name in fields:
+                yield from _faults(inner, fields[name].type, at)
+            else:
+                near = get_close_matches(name, fields, 1, 0.5)
+                known = f"{near[0]!r}" if near else "one of " + ", ".join(fields)
+                yield Fault(at, "", f"{known} (this key is not known)")
+        for name, field in fields.items():
+            if name not in value and field.required:
+                yield Fault(f"{path}.{name}" if path else name, "", "a value, got nothing")
+
+
+def _struct_of(kind: Any) -> type[msgspec.Struct] | None:
+    """The struct that a type holds: itself, or in a list of it, or beside None."""
+    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
+        return kind
+    inner = [_struct_of(item) for item in get_args(kind)]
+    return next((struct for struct in inner if struct is not None), None)
+
+
+def _expected(text: str) -> str:
+    """msgspec says "Expected `int` >= 1, got `str`" or names the key; only what was expected is kept."""
+    text = text.partition(" - at ")[0]
+    return text.replace("Expected ", "").replace("`", "").replace("Invalid enum value", "a known word, not")
+
+
+def _whole(made: msgspec.Struct, path: str) -> Iterator[Fault]:
+    check = getattr(made, "check", None)
+    if check is not None:
+        for name, value, expected in check():
+            yield Fault(f"{path}.{name}" if path else name, repr(value), expected)
+    for field in msgspec.structs.fields(made):
+        value = getattr(made, field.name)
+        at = f"{path}.{field.encode_name}" if path else field.encode_name
+        if isinstance(value, msgspec.Struct):
+            yield from _whole(value, at)
+        elif isinstance(value, list | tuple):
+            for i, item in enumerate(value):
+                if isinstance(item, msgspec.Struct):
+                    yield from _whole(item, f"{at}[{i}]")
--- /dev/null
+++ b/pointgw/command/parts.py
@@ -0,0 +1,37 @@
+"""What several commands share."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+import click
+
+from pointgw import checked
+
+
+class Address(click.ParamType[tuple[str, int]]):
+    """HOST:PORT on loopback; nothing else is spoken to."""
+
+    name = "HOST:PORT"
+
+    def convert(
+        self, value: object, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[str, int]:
+        if isinstance(value, tuple):
+            return value
+        host, _, port = str(value).rpartition(":")
+        if not host.startswith("127.") or not port.isdigit() or int(port) > 65535:
+            self.fail(f"expected HOST:PORT with a host in 127.0.0.0/8, got {value!r}", param, ctx)
+        return host, int(port)
+
+
+@contextmanager
+def faulty() -> Iterator[None]:
+    """A file with faults: a line for each, and exit 2."""
+    try:
+        yield
+    except checked.Faulty as told:
+        for fault in told.faults:
+            click.echo(f"pointgw: {fault.line(told.file)}", err=True)
+        raise click.exceptions.Exit(2) from None
--- /dev/null
+++ b/pointgw/faultbox/serve.py
@@ -0,0 +1,39 @@
+"""The fault box as a process of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import uvloop
+
+from pointgw import checked
+from pointgw.faultbox.box import Address, Box
+from pointgw.faultbox.script import Script
+
+
+def serve_box(listen: Address, to: Address, script: str | None, seed: int, trace: str | None) -> int:
+    """Runs until SIGINT or SIGTERM, then writes the trace. Raises `checked.Faulty`."""
+    rules = checked.read(Path(script), Script) if script else Script()
+
+    async def serve() -> int:
+        box = Box(rules, seed, to, listen)
+        try:
+            host, port = await box.start()
+        except OSError as fault:
+            print(f"pointgw fault-box: {listen[0]}:{listen[1]}: {fault.strerror}", file=sys.stderr)
+            return 1
+        ended = asyncio.Event()
+        for name in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(name, ended.set)
+        print(f"listening on {host}:{port}, to {to[0]}:{to[1]}", flush=True)
+        await ended.wait()
+        await box.stop()
+        if trace is not None:
+            Path(trace).write_text(box.trace())
+        print(f"{box.figures.connections} connections, {box.figures.traced} choices", flush=True)
+        return 0
+
+    return uvloop.run(serve())
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -58,7 +58,7 @@
 class Reducer:
     """All that this balancer keeps."""
 
-    def __init__(self, start: Start, now: float) -> None:
+    def __init__(self, start: Start, now: float, policy: type[Balancer] = Balancer) -> None:
         self.effects: list[fx.Effect] = []
         self.later: list[tuple[Tunnel, int, Ending]] = []  # ends that follow from what was asked for
         self.clients: dict[int, Client] = {}
@@ -78,7 +78,7 @@
         self.hold = HOLD * start.site.ask_every
         self.longest = max(p.client_timeout for p in start.site.profiles)
         self.stop_within = min(self.longest, LONGEST) + KILL_AFTER - SPARE
-        self.balancer = Balancer(start.site, self, Random(start.seed), now)
+        self.balancer = policy(start.site, self, Random(start.seed), now)
         self.probe_within = self.balancer.goal / 2
         self._list(start.known, True)
 
--- /dev/null
+++ b/pointgw/net/run/daemon.py
@@ -0,0 +1,45 @@
+"""The daemon: reads its files, serves until it is told to stop."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+from pointgw.net.run import log
+from pointgw.net.run.node import run
+from pointgw.net.wire.start import Start, start
+from pointgw.policy import Balancer
+from pointgw.site import Malformed
+
+
+def daemon(config: str, operator: str | None, policy: type[Balancer] = Balancer) -> int:
+    """Serves by the start-up file and, if one is named, the operators' file. Gives the exit code.
+
+    `policy`: what decides; another than the module's is only for comparison.
+    """
+    log.begin(os.environ.get("POINTGW_LOG", "info").upper())
+
+    def read() -> Start:
+        return start(Path(config).read_bytes())
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is served: the file is read here anyway
+    try:
+        told = read()
+    except (OSError, Malformed) as fault:
+        print(f"pointgw: {config}: {fault}", file=sys.stderr)
+        return 2
+    operators = None
+    if operator is not None:
+        from pointgw.net.run.operated import Operated  # nothing of it is loaded without the file
+
+        operators = Operated.begin(operator)
+        if operators is None:
+            return 2
+    try:
+        run(told, read, operators, policy)
+    except OSError as fault:
+        print(f"pointgw: {told.listen[0]}:{told.listen[1]}: {fault}", file=sys.stderr)
+        return 1
+    return 0
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -10,6 +10,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from itertools import count
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -24,8 +25,12 @@
 from pointgw.net.sure import broken
 from pointgw.net.wire.lines import Failure
 from pointgw.net.wire.start import Start
+from pointgw.policy import Balancer
 from pointgw.site import Malformed
 
+if TYPE_CHECKING:
+    from pointgw.net.run.operated import Operated
+
 BACKLOG = 1024  # clients that may come at once
 LOOK = 0.25  # seconds between two looks for connections that bring nothing back
 REPORT = 10.0  # seconds between two lines of the log on how things stand
@@ -40,10 +45,17 @@
 
 
 class Node:
-    def __init__(self, start: Start, loop: asyncio.AbstractEventLoop, again: Callable[[], Start]) -> None:
-        self.loop, self.start, self.again = loop, start, again
+    def __init__(
+        self,
+        start: Start,
+        loop: asyncio.AbstractEventLoop,
+        again: Callable[[], Start],
+        operated: Operated | None = None,
+        policy: type[Balancer] = Balancer,
+    ) -> None:
+        self.loop, self.start, self.again, self.operated = loop, start, again, operated
         self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
-        self.reducer = Reducer(start, self.now())
+        self.reducer = Reducer(start, self.now(), policy)
         self.slow_after = self.reducer.balancer.goal / 3
         self.first_within = FIRST_LINE * self.reducer.longest
         self.allowed = _allowed(start.descriptors)
@@ -116,6 +128,8 @@
         """Takes over what has changed in the start-up file; one that can't be read changes nothing."""
         if self.stopping:
             return
+        if self.operated is not None:
+            self.operated.again()
         try:
             told = self.again()
         except (OSError, Malformed) as fault:
@@ -218,7 +232,8 @@
 
     def _report(self) -> None:
         _log.info("state", extra={"fields": self.reducer.figures() | dict(self.turned_away) | dict(broken)})
-        self.loop.call_later(REPORT, self._report)
+        every = self.operated.state_every if self.operated is not None else None
+        self.loop.call_later(every or REPORT, self._report)
 
 
 def _allowed(told: int) -> int:
@@ -228,8 +243,13 @@
     return min(told or limit, limit)
 
 
-def run(start: Start, again: Callable[[], Start]) -> None:
+def run(
+    start: Start,
+    again: Callable[[], Start],
+    operated: Operated | None = None,
+    policy: type[Balancer] = Balancer,
+) -> None:
     async def main() -> None:
-        await Node(start, asyncio.get_running_loop(), again).serve()
+        await Node(start, asyncio.get_running_loop(), again, operated, policy).serve()
 
     uvloop.run(main())
--- /dev/null
+++ b/pointgw/rig/demand.py
@@ -0,0 +1,79 @@
+"""Who comes when: an open loop, drawn ahead from one seed. No I/O, no clock.
+
+Arrivals don't wait for answers, so a balancer that stalls is not flattered: a client's times count
+from when it was to come.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from math import exp
+from random import Random
+
+from pointgw.rig.scenario import Demand, Scenario
+
+STANDING_WITHIN = 3.0  # seconds in which those that stand from the start come
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """One client: when it comes, how long it wants to stay, and what it asks of its server."""
+
+    number: int
+    at: float  # seconds from the scenario's start
+    life: float
+    load: float
+    profile: int
+    zone: int
+    group: str
+    slow: bool
+
+
+def median_work(demand: Demand) -> float:
+    """Work that a tunnel asks in its life, by the means of the two lognormals."""
+    return demand.load * demand.life * exp((demand.load_sigma**2 + demand.life_sigma**2) / 2)
+
+
+def wishes(scenario: Scenario) -> Iterator[Wish]:
+    """All clients of a scenario, in order of arrival."""
+    demand = scenario.demand
+    rng = Random(f"{scenario.seed}/demand")
+    for number, at in enumerate(_times(scenario, rng)):
+        group = f"g{int(demand.groups * rng.random() ** 2)}" if demand.groups else ""
+        yield Wish(
+            number=number,
+            at=at,
+            life=max(1.0, rng.lognormvariate(0.0, demand.life_sigma) * demand.life),
+            load=rng.lognormvariate(0.0, demand.load_sigma) * demand.load,
+            profile=rng.choices(range(len(scenario.profile)), [p.share for p in scenario.profile])[0],
+            zone=rng.randrange(len(scenario.fleet.zones)),
+            group=group,
+            slow=rng.random() < demand.slow_readers,
+        )
+
+
+def _times(scenario: Scenario, rng: Random) -> list[float]:
+    demand = scenario.demand
+    times = [rng.uniform(0.0, STANDING_WITHIN) for _ in range(demand.standing)]
+    at = 0.0
+    bursts = [t for t in scenario.trouble if t.what == "burst"]
+    while True:
+        # Thinning: drawn at the highest rate, kept by the rate that holds then.
+        top = demand.arrivals * max([1.0, *(t.size for t in bursts)])
+        at += rng.expovariate(top)
+        if at >= scenario.seconds:
+            break
+        times_now = max([1.0, *(t.size for t in bursts if t.at <= at < t.at + (t.seconds or 1e9))])
+        if rng.random() * top < demand.arrivals * times_now:
+            times.append(at)
+    if demand.burst_every:
+        for i in range(1, int(scenario.seconds / demand.burst_every)):
+            times += [i * demand.burst_every + rng.uniform(0.0, 0.05) for _ in range(demand.burst_size)]
+    return sorted(times)
+
+
+def back_off(demand: Demand, tries: int, rng: Random) -> float:
+    """Seconds until a client comes again after so many tries."""
+    wait: float = min(demand.retry_last, demand.retry_first * 2**tries)
+    return wait * rng.uniform(0.5, 1.5)
--- /dev/null
+++ b/pointgw/rig/layout.py
@@ -0,0 +1,41 @@
+"""Where each part of a rig listens. No I/O.
+
+Every run has a second octet of 127.0.0.0/8 of its own, so that runs side by side don't meet. A server has an
+address for each balancer, so that it can tell who connects; a link that is disturbed has a box in between.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+SERVER_PORT, BALANCER_PORT, DISCOVERY_PORT = 9000, 8443, 8500
+FIRST, COUNT = 64, 128  # second octets that runs use
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    run: int  # any number, such as a process id
+
+    def _ip(self, third: int, fourth: int) -> str:
+        return f"127.{FIRST + self.run % COUNT}.{third}.{fourth}"
+
+    def server(self, server: int, balancer: int) -> Address:
+        return self._ip(1 + balancer, 1 + server), SERVER_PORT
+
+    def server_box(self, server: int, balancer: int) -> Address:
+        return self._ip(101 + balancer, 1 + server), SERVER_PORT
+
+    def balancer(self, balancer: int) -> Address:
+        return self._ip(255, 1 + balancer), BALANCER_PORT
+
+    def balancer_box(self, balancer: int) -> Address:
+        return self._ip(253, 1 + balancer), BALANCER_PORT
+
+    def discovery(self, balancer: int) -> Address:
+        return self._ip(254, 1 + balancer), DISCOVERY_PORT
+
+
+def shown(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
--- /dev/null
+++ b/pointgw/rig/links.py
@@ -0,0 +1,31 @@
+"""The fault boxes of a rig as a process: one for each link that a scenario disturbs."""
+
+from __future__ import annotations
+
+import sys
+
+import msgspec
+
+from pointgw.faultbox.box import Box
+from pointgw.faultbox.script import Script
+from pointgw.rig import child
+from pointgw.rig.records import Writer
+
+
+async def part(told: child.Told, writer: Writer) -> child.Take:
+    boxes: dict[str, Box] = {}
+    for name, listen, to in told["links"]:
+        box = Box(Script(), int(told["seed"]), tuple(to), tuple(listen))
+        await box.start()
+        boxes[name] = box
+
+    def take(command: child.Told) -> None:
+        script = msgspec.convert({"rule": command["rule"]}, Script)
+        for name in command["names"]:
+            boxes[name].turn(script)
+
+    return take
+
+
+if __name__ == "__main__":
+    sys.exit(child.run(part))
--- /dev/null
+++ b/pointgw/rig/load.py
@@ -0,0 +1,104 @@
+"""An open-loop load on one address: tunnels at a rate, each timed from when it was to come."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from random import Random
+from typing import cast
+
+from hdrh.histogram import HdrHistogram
+
+from pointgw.net.run import ends
+from pointgw.net.wire.lines import END
+
+AFTER = 0.2  # seconds beyond the client timeout in which last answers come
+
+
+class Tunnel(asyncio.Protocol):
+    """One tunnel: its line, its answer, its end."""
+
+    __slots__ = ("answered", "due", "load", "number", "transport")
+
+    def __init__(self, load: Load, number: int, due: float) -> None:
+        self.load, self.number, self.due = load, number, due
+        self.answered = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        load = self.load
+        line = f"OPEN {load.rng.getrandbits(64):016x} k{self.number:x} c={load.profile},t=all"
+        self.transport.write(f"{line},d={round(load.timeout * 1e3)}".encode() + END)
+        load.loop.call_later(load.timeout, self._late)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.answered:
+            word = data.split(b" ", 1)[0].strip()
+            self._answer({b"UP": "opened", b"BUSY": "declined"}.get(word, "failed"))
+            if word == b"UP":
+                self.load.loop.call_later(self.load.life, ends.finish, self.transport)
+            else:
+                self.transport.close()
+
+    def _answer(self, how: str) -> None:
+        self.answered = True
+        self.load.answers[how] += 1
+        if how == "opened":
+            self.load.times.record_value(max(1, round((time.monotonic() - self.due) * 1e6)))
+
+    def _late(self) -> None:
+        if not self.answered:
+            self._answer("none")
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if not self.answered:
+            self._answer("lost")
+
+
+class Load:
+    """`rate` new tunnels a second for `seconds`; all times in seconds."""
+
+    def __init__(
+        self,
+        to: tuple[str, int],
+        rate: float,
+        seconds: float,
+        life: float,
+        profile: str,
+        timeout: float,
+        seed: int,
+    ) -> None:
+        self.to, self.rate, self.seconds, self.life = to, rate, seconds, life
+        self.profile, self.timeout, self.rng = profile, timeout, Random(seed)
+        self.answers: Counter[str] = Counter()
+        self.times = HdrHistogram(1, 120_000_000, 3)
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> dict[str, float]:
+        """Figures by name; times in milliseconds."""
+        self.loop = asyncio.get_running_loop()
+        began, at, number = time.monotonic(), 0.0, 0
+        while at < self.seconds:
+            wait = began + at - time.monotonic()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            task = self.loop.create_task(self._open(number, began + at))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            number += 1
+            at += self.rng.expovariate(self.rate)
+        took = time.monotonic() - began
+        await asyncio.sleep(self.timeout + AFTER)
+        told: dict[str, float] = {"asked": number, "seconds": round(took, 3)}
+        told |= {how: self.answers[how] for how in ("opened", "declined", "failed", "none", "lost")}
+        for quantile in (50.0, 99.0, 100.0):
+            told[f"p{quantile:g}_ms"] = self.times.get_value_at_percentile(quantile) / 1e3
+        return told
+
+    async def _open(self, number: int, due: float) -> None:
+        try:
+            await self.loop.create_connection(lambda: Tunnel(self, number, due), *self.to)
+        except OSError:
+            self.answers["lost"] += 1
--- /dev/null
+++ b/pointgw/rig/referee.py
@@ -0,0 +1,402 @@
+"""Judges a run by the four rules, tunnel by tunnel. It trusts nobody: what clients saw is joined with what
+servers saw, and what discovery wrote. No I/O.
+
+What can't be judged is counted as such: balancers that were dead or stopped in the middle, links that a box
+disturbed, servers whose own clock stood still. Rules that were broken name the tunnel, the times and what is
+known of it. Known limit: what a balancer sends to a server that was paused shows only when that one goes on.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from itertools import pairwise
+from math import inf
+
+import msgspec
+
+from pointgw.rig import records as rec
+from pointgw.rig.demand import median_work
+from pointgw.rig.machine import SLACK as COLD_SLACK
+from pointgw.rig.meta import Meta
+from pointgw.rig.scenario import Profile
+
+LATE = 0.05  # seconds beyond each limit that sockets and timers take
+DEEMED = 6.0  # seconds after which what discovery has to tell counts as told
+TWO_OUT = 0.05  # seconds that a setup given up may still be seen at its server
+END_SPARE = 0.5  # seconds before the last answers are waited for, in which a try is not judged
+SHOWN = 8  # breaches of a rule that are told in full
+
+
+@dataclass(frozen=True, slots=True)
+class Breach:
+    """A rule that was broken."""
+
+    rule: int  # 1 to 4; 0: a balancer ended by itself
+    at: float  # seconds from the scenario's start
+    tunnel: str
+    text: str
+    seen: tuple[str, ...] = ()  # all that is known of the tunnel, in order
+
+    def lines(self) -> list[str]:
+        name = f"rule {self.rule}" if self.rule else "crash"
+        about = f" tunnel {self.tunnel}" if self.tunnel else ""
+        first = f"{name} broken at {self.at:.3f}s{about}: {self.text}"
+        return [first, *("    " + line for line in self.seen)]
+
+
+@dataclass(slots=True)
+class Verdict:
+    judged: int = 0  # tunnels
+    excused: Counter[str] = field(default_factory=Counter)
+    breaches: list[Breach] = field(default_factory=list)
+
+    @property
+    def kept(self) -> bool:
+        return not self.breaches
+
+    def counts(self) -> dict[int, int]:
+        return dict(Counter(breach.rule for breach in self.breaches))
+
+
+@dataclass(slots=True)
+class Try:
+    """All that is known of one tunnel id."""
+
+    asked: rec.Asked | None = None
+    answers: list[rec.Answered] = field(default_factory=list)
+    further: list[rec.Further] = field(default_factory=list)
+    took: list[rec.Took] = field(default_factory=list)
+    says: list[rec.Said] = field(default_factory=list)
+    gone: list[rec.Gone] = field(default_factory=list)
+    ended: list[rec.Ended] = field(default_factory=list)
+
+    def seen(self, began: float) -> tuple[str, ...]:
+        all_records: list[rec.AnyRecord] = [
+            *([self.asked] if self.asked else []), *self.took, *self.says, *self.gone, *self.answers,
+            *self.further, *self.ended,
+        ]  # fmt: skip
+        return tuple(_shown(record, began) for record in sorted(all_records, key=lambda r: r.t))
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    """One setup as its server saw it."""
+
+    server: str
+    balancer: int
+    took: float
+    began: float
+    said: str  # its answer, or nothing
+    over: float  # when it was over there
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.said != "BUSY"
+
+
+def judge(found: list[rec.AnyRecord], meta: Meta) -> Verdict:
+    """Raises nothing: a run without records has nothing judged, which the caller must not call kept."""
+    return Referee(found, meta).judge()
+
+
+class Referee:
+    def __init__(self, found: list[rec.AnyRecord], meta: Meta) -> None:
+        self.meta, self.found = meta, found
+        self.verdict = Verdict()
+        self.tries: dict[str, Try] = defaultdict(Try)
+        self.receipts: set[tuple[str, str]] = set()
+        self.away: dict[int, list[tuple[float, float]]] = defaultdict(list)  # when a balancer could not act
+        self.stood: dict[str, list[tuple[float, float]]] = defaultdict(list)  # when a server was paused
+        self.lags: list[tuple[float, float]] = []  # when clients were late, and how much
+        self.kills: dict[str, list[float]] = defaultdict(list)  # when a server's process was ended
+        self.starts: dict[str, list[float]] = defaultdict(list)  # when one was started
+        self.started: dict[int, list[float]] = defaultdict(list)  # when a balancer's was
+        self._sort()
+
+    def _sort(self) -> None:
+        since: dict[int, float] = {}
+        paused: dict[str, float] = {}
+        for record in self.found:
+            match record:
+                case rec.Asked():
+                    self.tries[record.name].asked = record
+                case rec.Answered():
+                    self.tries[record.name].answers.append(record)
+                case rec.Further():
+                    self.tries[record.name].further.append(record)
+                case rec.Took():
+                    self.tries[record.name].took.append(record)
+                case rec.Said():
+                    self.tries[record.name].says.append(record)
+                    self.receipts.add((record.name, record.line))
+                case rec.Gone():
+                    self.tries[record.name].gone.append(record)
+                case rec.Ended():
+                    self.tries[record.name].ended.append(record)
+                case rec.Started():
+                    # What its process before held is gone, which nobody there wrote down.
+                    self.starts[record.server].append(record.t)
+                case rec.Balancer(what="started"):
+                    self.started[record.number].append(record.t)
+                case rec.Balancer(what="killed" | "paused" | "died" | "ended"):
+                    since.setdefault(record.number, record.t)
+                case rec.Balancer(what="serving" | "resumed"):
+                    if record.number in since:
+                        self.away[record.number].append((since.pop(record.number), record.t))
+                case rec.Mark(what="server-kill" | "server-drain"):
+                    for number in record.which:
+                        self.kills[f"s-{number}"].append(record.t)
+                case rec.Mark(what="server-pause"):
+                    for number in record.which:
+                        if not record.ends:
+                            paused[f"s-{number}"] = record.t
+                        elif f"s-{number}" in paused:
+                            self.stood[f"s-{number}"].append((paused.pop(f"s-{number}"), record.t))
+                case rec.Strain(who="clients") if record.lag > LATE / 2:
+                    self.lags.append((record.t, record.lag))
+                case _:
+                    pass
+        for number, at in since.items():
+            self.away[number].append((at, inf))
+        for name, at in paused.items():
+            self.stood[name].append((at, inf))
+
+    def judge(self) -> Verdict:
+        for name, one in self.tries.items():
+            self._answers(name, one)
+            self._effects(name, one)
+        self._drains()
+        self._cold()
+        for record in self.found:
+            if isinstance(record, rec.Balancer) and record.what == "died":
+                self._broken(0, record.t, "", f"balancer n{record.number} ended by itself")
+        self.verdict.breaches.sort(key=lambda breach: (breach.rule, breach.at))
+        return self.verdict
+
+    def _broken(self, rule: int, at: float, tunnel: str, text: str, seen: tuple[str, ...] = ()) -> None:
+        self.verdict.breaches.append(Breach(rule, at - self.meta.began, tunnel, text, seen))
+
+    # Rule 1.
+
+    def _answers(self, name: str, one: Try) -> None:
+        asked = one.asked
+        if asked is None:
+            if one.took:
+                where = one.took[0].server
+                self._broken(1, one.took[0].t, name, f"{where} got a tunnel that no client asked for")
+            return
+        if self._excused(asked):
+            return
+        last = asked.t + asked.patience + LATE
+        if not one.answers:
+            if last + END_SPARE < self._heard_until():
+                text = "neither an answer nor an end reached its client"
+                self._broken(1, last, name, text, one.seen(self.meta.began))
+            else:
+                self.verdict.excused["asked at the very end"] += 1
+            return
+        self.verdict.judged += 1
+        first = one.answers[0]
+        late = first.t - last - self._lag(first.t)
+        if first.how == "none":
+            text = f"no answer within {asked.patience:g} s"
+        elif first.how == "lost":
+            text = "its connection ended without an answer"
+        elif late > 0:
+            text = f"answered {late + LATE:.3f} s after its client timeout"
+        elif len(one.answers) > 1:
+            text = f"{len(one.answers)} final answers"
+        elif one.further:
+            text = f"something after its answer: {one.further[0].line!r}"
+        elif first.how == "opened" and (name, first.line) not in self.receipts:
+            text = f"opened with {first.line!r}, which no server gave"
+        else:
+            return
+        self._broken(1, first.t, name, text, one.seen(self.meta.began))
+
+    def _heard_until(self) -> float:
+        return max((r.t for r in self.found), default=0.0)
+
+    def _excused(self, asked: rec.Asked) -> bool:
+        if self.meta.boxed_clients:
+            self.verdict.excused["behind a box between clients and balancers"] += 1
+            return True
+        until = asked.t + asked.patience + LATE
+        if any(begin <= until and end >= asked.t - LATE for begin, end in self.away[asked.balancer]):
+            self.verdict.excused["at a balancer that was killed or paused"] += 1
+            return True
+        return False
+
+    def _lag(self, at: float) -> float:
+        """How late the clients themselves may have been then."""
+        return max((lag for t, lag in self.lags if t - 1.2 <= at <= t + 0.2), default=0.0)
+
+    # Rule 2.
+
+    def _setups(self, one: Try) -> list[Setup]:
+        setups = []
+        for took in sorted(one.took, key=lambda took: took.t):
+            said = next((s for s in one.says if s.server == took.server and s.t >= took.t), None)
+            gone = next((g for g in one.gone if g.server == took.server and g.t >= took.t), None)
+            word = said.line.split(" ")[0] if said is not None else ""
+            over = [inf if gone is None else gone.t]
+            if said is not None and word != "UP":
+                over.append(said.t)
+            over += [t for t in self.starts[took.server] if t > took.t][:1]
+            if self._disturbed(took):
+                over.append(took.t)
+            setups.append(Setup(took.server, took.balancer, took.t, took.began, word, min(over)))
+        return setups
+
+    def _disturbed(self, took: rec.Took) -> bool:
+        """Its server can't tell when a setup was given up."""
+        boxed = took.server in {f"s-{n}" for n in self.meta.boxed_servers}
+        return boxed or any(b <= took.t <= e + LATE for b, e in self.stood[took.server])
+
+    def _effects(self, name: str, one: Try) -> None:
+        if one.asked is None or len(one.took) == 0:
+            return
+        profile = self.meta.scenario.profile[one.asked.profile]
+        setups = self._setups(one)
+        seen = one.seen(self.meta.began)
+        for earlier, later in pairwise(setups):
+            if earlier.over > later.took + TWO_OUT and not self._died(earlier, later.took):
+                text = f"two setups out: {earlier.server} still has it, {later.server} got it too"
+                self._broken(2, later.took, name, text, seen)
+        ran = [setup for setup in setups if setup.may_have_run]
+        if profile.semantics == "side_effect" and ran:
+            first = ran[0]
+            if setups[-1] is not first:
+                text = f"once-only, may have run at {first.server}, and was sent on to {setups[-1].server}"
+                self._broken(2, setups[-1].took, name, text, seen)
+            elif one.answers and one.answers[0].how == "declined":
+                text = f"once-only, may have run at {first.server}, and was declined"
+                self._broken(2, one.answers[0].t, name, text, seen)
+        if profile.semantics == "token" and ran:
+            self._referenced(name, profile, setups, ran[0], seen)
+
+    def _died(self, setup: Setup, by: float) -> bool:
+        """Its server's process had ended by then, which nobody there wrote down."""
+        return any(setup.took - LATE <= t <= by + LATE for t in self.kills[setup.server])
+
+    def _referenced(
+        self, name: str, profile: Profile, setups: list[Setup], first: Setup, seen: tuple[str, ...]
+    ) -> None:
+        places = {"all": {}, "zone": self.meta.zones, "cell": self.meta.cells}[profile.group]
+        for setup in setups:
+            if setup.took <= first.took:
+                continue
+            if places.get(setup.server) != places.get(first.server):
+                text = f"referenced within its {profile.group}, sent to {first.server} and {setup.server}"
+                self._broken(2, setup.took, name, text, seen)
+            elif setup.took > first.took + profile.window + LATE:
+                span = setup.took - first.took
+                text = f"referenced for {profile.window:g} s, sent again after {span:.3f} s"
+                self._broken(2, setup.took, name, text, seen)
+
+    # Rule 3.
+
+    def _drains(self) -> None:
+        """What was written to a balancer, or counts as told, against what it began to send."""
+        told: dict[tuple[int, str], float] = {}  # since when a balancer knows a server as not to be used
+        fact: dict[str, float] = {}  # since when discovery has it to tell
+        well_since = -inf
+        sends = [
+            (took.began, took, name) for name, one in self.tries.items() for took in one.took
+        ]
+        events: list[tuple[float, int, object]] = [(began, 1, (took, name)) for began, took, name in sends]
+        events += [(r.t, 0, r) for r in self.found if isinstance(r, rec.Wrote | rec.Changed | rec.Mark)]
+        events += [(r.t, 0, r) for r in self.found if isinstance(r, rec.Balancer) and r.what == "started"]
+        grace = self.meta.scenario.fleet.drain_grace + LATE
+        for at, _, event in sorted(events, key=lambda item: (item[0], item[1])):
+            match event:
+                case rec.Wrote():
+                    self._wrote(event, told)
+                case rec.Changed():
+                    if event.status == "up":
+                        fact.pop(event.server, None)
+                    else:
+                        fact.setdefault(event.server, at)
+                case rec.Mark() if event.what.startswith("discovery"):
+                    well_since = at if event.ends or event.what == "discovery-lower" else inf
+                case rec.Balancer():
+                    # A process that starts is told anew.
+                    for key in [key for key in told if key[0] == event.number]:
+                        del told[key]
+                case (rec.Took() as took, str() as name):
+                    known = told.get((took.balancer, took.server), inf)
+                    started = max((t for t in self.started[took.balancer] if t <= at), default=-inf)
+                    if took.server in fact:
+                        known = min(known, max(fact[took.server], well_since, started) + DEEMED)
+                    if at > known + grace and not self._still(took):
+                        text = f"{took.server} got it {at - known:.3f} s after n{took.balancer} was told"
+                        self._broken(3, at, name, text, self.tries[name].seen(self.meta.began))
+                case _:
+                    pass
+
+    def _still(self, took: rec.Took) -> bool:
+        """Its server or its link stood still, so when it was sent is not known."""
+        return self._disturbed(took) or any(b <= took.began <= e + LATE for b, e in self.stood[took.server])
+
+    @staticmethod
+    def _wrote(event: rec.Wrote, told: dict[tuple[int, str], float]) -> None:
+        for server, status in event.statuses.items():
+            if status == "up":
+                told.pop((event.balancer, server), None)
+            else:
+                told.setdefault((event.balancer, server), event.t)
+
+    # Rule 4.
+
+    def _cold(self) -> None:
+        """Setups that cold servers got within any tip time, against what they could do then."""
+        fleet, demand = self.meta.scenario.fleet, self.meta.scenario.demand
+        took: dict[tuple[str, int], list[float]] = defaultdict(list)
+        for one in self.tries.values():
+            for each in one.took:
+                took[each.server, each.start].append(each.t)
+        shares = {kind.name: kind.capacity for kind in fleet.kinds}
+        capacity = max(shares.values())  # its kind is not told here: the widest budget is used
+        for record in self.found:
+            if isinstance(record, rec.Fell):
+                text = f"{record.server} fell over cold: {record.came} setups, room for {record.budget:.1f}"
+                self._broken(4, record.t, "", text)
+            if not isinstance(record, rec.Started) or not record.cold:
+                continue
+            times = sorted(took[record.server, record.start])
+            for i, at in enumerate(times):
+                age = (at - record.t) / fleet.cold_seconds
+                if age > 1.0:
+                    break
+                share = fleet.cold_from + (1 - fleet.cold_from) * max(0.0, age)
+                fills = capacity * share / median_work(demand)
+                room = fleet.tip_multiple * fills * fleet.tip_seconds + COLD_SLACK
+                came = i + 1 - bisect_left(times, at - fleet.tip_seconds)
+                if came > room:
+                    span = f"{fleet.tip_seconds:g} s"
+                    text = f"{record.server}, cold, got {came} setups in {span}, room for {room:.1f}"
+                    self._broken(4, at, "", text)
+                    break
+
+
+def _shown(record: rec.AnyRecord, began: float) -> str:
+    told = msgspec.to_builtins(record)
+    kind, at = told.pop("is"), told.pop("t")
+    told.pop("name", None)
+    return f"{at - began:9.3f}s {kind} " + " ".join(f"{name}={value}" for name, value in told.items())
+
+
+def report(verdict: Verdict) -> list[str]:
+    """The verdict in lines, as a person reads it."""
+    lines = [
+        f"rules: {'kept' if verdict.kept else 'BROKEN'}, {verdict.judged} tunnels judged"
+        + "".join(f", {count} {why}" for why, count in sorted(verdict.excused.items()))
+    ]
+    for rule, count in sorted(verdict.counts().items()):
+        for breach in [b for b in verdict.breaches if b.rule == rule][:SHOWN]:
+            lines += breach.lines()
+        if count > SHOWN:
+            lines.append(f"    and {count - SHOWN} more of rule {rule}")
+    return lines
--- /dev/null
+++ b/pointgw/rig/table.py
@@ -0,0 +1,69 @@
+"""Results as a person reads them."""
+
+from __future__ import annotations
+
+from pointgw.rig.results import Result, compare, spread
+
+
+def rows(results: list[Result]) -> list[str]:
+    """One run, or several seeds of one scenario and policy with their spread."""
+    first = results[0]
+    services = spread([r.service for r in results])
+    lines = [
+        f"{first.scenario}, {first.policy}, seed{'s' if len(results) > 1 else ''} "
+        + ", ".join(str(r.seed) for r in results),
+        f"  service          {services.text()}"
+        + "".join(
+            f"   {name} {spread([r.by_profile.get(name, 0.0) for r in results]).text()}"
+            for name in first.by_profile
+        ),
+    ]
+    if first.setups:
+        quantiles = "   ".join(
+            f"{q} {spread([r.setups[q] * 1e3 for r in results if r.setups]).text(0)}" for q in first.setups
+        )
+        lines.append(f"  setup time, ms   {quantiles}")
+    answers = {how for r in results for how in r.answers}
+    lines.append(
+        "  answers          "
+        + "   ".join(f"{how} {sum(r.answers.get(how, 0) for r in results)}" for how in sorted(answers))
+    )
+    lines.append(
+        f"  setups a tunnel  {spread([r.tries for r in results]).text(2)}   moves "
+        f"{sum(r.moves for r in results)}   broken {sum(r.lost for r in results)}   "
+        f"come again {sum(r.retries for r in results)}   kept long {sum(r.kept_long for r in results)}"
+    )
+    for i, recovery in enumerate(first.recovery):
+        lowest = min(r.recovery[i].lowest for r in results)
+        backs = [r.recovery[i].seconds for r in results]
+        known = [back for back in backs if back is not None]
+        back = f"back after {max(known):.0f} s" if len(known) == len(backs) else "not back within the run"
+        lines.append(f"  {recovery.what:<17} at {recovery.at:.0f} s: lowest second {lowest:.2f}, {back}")
+    for result in results:
+        prefix = f"  seed {result.seed}: " if len(results) > 1 else "  "
+        lines += [prefix + line for line in result.verdict]
+        lines += [f"{prefix}NOT TO BE TRUSTED: {line}" for line in result.strain]
+    return lines
+
+
+def side_by_side(one: list[Result], other: list[Result]) -> list[str]:
+    """Two results of the same scenarios."""
+    lines = []
+    pairs = (
+        ("service", lambda r: r.service),
+        ("setup p50, ms", lambda r: 1e3 * r.setups.get("p50", 0.0)),
+        ("setup p99, ms", lambda r: 1e3 * r.setups.get("p99", 0.0)),
+        ("declined", lambda r: float(r.answers.get("declined", 0))),
+        ("moves", lambda r: float(r.moves)),
+        ("broken", lambda r: float(r.lost)),
+    )
+    head = f"{one[0].scenario}: {one[0].policy} -> {other[0].policy}"
+    lines.append(head)
+    for name, figure in pairs:
+        first, second = {r.seed: figure(r) for r in one}, {r.seed: figure(r) for r in other}
+        compared = compare(first, second)
+        lines.append(
+            f"  {name:<14} {spread(list(first.values())).text():>18} -> "
+            f"{spread(list(second.values())).text():>18}   {compared.difference.text()} {compared.verdict}"
+        )
+    return lines
--- /dev/null
+++ b/pointgw/rig/timeline.py
@@ -0,0 +1,41 @@
+"""A scenario's troubles as moments: what begins and ends when, and at whom. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from pointgw.rig.scenario import Scenario, Trouble
+
+
+@dataclass(frozen=True, slots=True)
+class Moment:
+    """A trouble begins, or ends."""
+
+    at: float  # seconds from the scenario's start
+    number: int  # of the trouble in the scenario
+    trouble: Trouble
+    which: tuple[int, ...]  # balancers or servers, by number
+    ends: bool
+
+
+def moments(scenario: Scenario) -> list[Moment]:
+    """In order of time. Who is hit by chance is drawn from the scenario's seed."""
+    fleet, found = scenario.fleet, []
+    for number, trouble in enumerate(scenario.trouble):
+        rng = Random(f"{scenario.seed}/trouble/{number}")
+        if trouble.what == "server-start":
+            pool = range(fleet.servers, fleet.servers + fleet.spare_servers)
+        else:
+            pool = range(fleet.balancers if trouble.target == "balancer" else fleet.servers)
+        which = trouble.which or tuple(sorted(rng.sample(pool, min(trouble.count, len(pool)))))
+        if trouble.target in ("discovery", "clients"):
+            which = ()
+        elif trouble.what == "links" and not trouble.which:
+            which = tuple(range(fleet.servers if trouble.side == "servers" else fleet.balancers))
+        elif trouble.what == "server-start" and not trouble.which:
+            which = tuple(pool[: trouble.count])
+        found.append(Moment(trouble.at, number, trouble, which, False))
+        if trouble.seconds:
+            found.append(Moment(trouble.at + trouble.seconds, number, trouble, which, True))
+    return sorted(found, key=lambda moment: (moment.at, moment.number, moment.ends))
