--- a/pointgw/command/main.py
+++ b/pointgw/command/main.py
@@ -144,8 +144,9 @@
     """Name the scenarios of the library."""
     from pointgw.rig.scenario import library, read
 
-    for name in library():
-        click.echo(f"{name:<22} {read(name).about}")
+    with faulty():
+        for name in library():
+            click.echo(f"{name:<22} {read(name).about}")
 
 
 @rig.command("judge")
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -40,6 +40,8 @@
 WAIT = 0.5  # of the client timeout: how long a tunnel waits for a ready server
 LATE = 2  # setup goals until a placement shows in the reports, or a first report comes
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
+SEEN = 8  # own tunnels that a report must show, from which it tells what one of them adds at most
+UNEVEN = 2.0  # times that, as so few may be light by chance
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
@@ -128,9 +130,10 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups",
-        "heard_at", "listed", "mark", "name", "out_until", "probe_due", "probing", "recent", "reckoned",
-        "shed_at", "started", "strikes", "trying", "tunnels", "waiting", "warm_at", "zone",
+        "active", "adds", "adds_at", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups",
+        "heard_at", "listed", "look_at", "mark", "name", "out_until", "probe_due", "probing",
+        "recent", "reckoned", "shed_at", "started", "strikes", "took", "trying", "tunnels", "waiting",
+        "warm_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -152,6 +155,9 @@
         self.full_load = 0.0  # load over capacity of the latest report
         self.heard_at = self.asked_at = -inf  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
+        self.took: list[float] = []  # of those, the ones it has opened
+        self.look_at = inf  # when a report shows enough of these
+        self.adds, self.adds_at = inf, -inf  # load that one of them adds at most, by a report; when
         self.shed_at = 0.0  # when tunnels were last moved off
         self.reckoned = -inf  # load that tells whether it has room
         self.warm_at = 0.0  # when a process that started lately has its full capacity at the latest
@@ -197,6 +203,7 @@
         # Own arrivals a second, smoothed.
         self.rate, self.came = 0.0, 0  # the rate starts with the first list
         self.round_at = self.round_due = now
+        self.look_due = inf  # when the first report shows what own tunnels add
         self.tick_due = inf
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}  # held or asking
@@ -288,7 +295,20 @@
 
     def _added(self, ep: Server) -> float:
         """Load that all balancers are likely to have added since, each as this one did."""
-        return len(ep.recent) * (self.load_unit * self.balancers)
+        return len(ep.recent) * (min(self.load_unit, ep.adds) * self.balancers)
+
+    @staticmethod
+    def _believe(ep: Server, now: float, cut: float) -> None:
+        """What one tunnel adds to this server at most: its report has all in it that it opened before `cut`.
+        Guards large, idle servers from being held to be full by what a tunnel adds elsewhere. Only what has
+        room looks at it, not what a cold server may get: tunnels that ended soon make it look light."""
+        seen = sum(at <= cut for at in ep.took)
+        if seen >= SEEN:
+            ep.adds, ep.adds_at = max(UNEVEN * ep.full_load / seen, STEP / 100), now
+        elif now - ep.adds_at > LONG:
+            ep.adds = inf
+        ep.took = [at for at in ep.took if at > cut]
+        ep.look_at = inf if len(ep.took) < SEEN else ep.look_at
 
     def _within_budget(self, ep: Server, now: float) -> bool:
         """Rule 4: a cold server is ready while this balancer's share of its budget holds a tunnel.
@@ -542,6 +562,10 @@
             tun.to(State.OPEN)
             setup = tun.setups[number]
             setup.began = True
+            setup.ep.took.append(setup.sent_at)
+            if len(setup.ep.took) == SEEN:
+                setup.ep.look_at = setup.sent_at + LATE * self.goal
+                self.look_due = min(self.look_due, setup.ep.look_at)
             setup.ep.trying -= 1
             setup.ep.strikes -= setup.ep.out_until <= now and setup.ep.strikes > 0
             self.retries = min(self.retries + RETRY_SHARE, self.retry_top)
@@ -651,7 +675,10 @@
                 ep.busy = report[word]
                 break
         # Guards against reports that are late: what was placed just before is not in them yet.
-        ep.recent = [at for at in ep.recent if at > now - LATE * self.goal]
+        cut = now - LATE * self.goal
+        ep.recent = [at for at in ep.recent if at > cut]
+        if "load" in report:
+            self._believe(ep, now, cut)
         self._reckon(ep)
         if not self.c_started:
             self._start_c()
@@ -698,6 +725,9 @@
         self.tick_due = inf
         if now >= self.round_due:
             self._round(now)
+        elif now >= self.look_due and self.may_probe:
+            # Guards tunnels that wait from being declined just before a report can tell of room.
+            self._probe(now)
         self._serve_held(now)
         self._wake(now, self.pace if self.held else max(self.round_due - now, self.pace))
 
@@ -758,11 +788,14 @@
             news = age >= self.goal and self._added(ep) >= NEWS
             if waits and ep.reckoned >= self.full and age >= self.goal:
                 news, waits = True, False
-            if (news or ep.probe_due <= now) and not ep.probing and self._may_ask(ASKED):
+            look = ep.look_at <= now and bool(self.held)
+            due = look or news or ep.probe_due <= now
+            if due and not ep.probing and self._may_ask(0 if look else ASKED):
                 # A probe may bring no report, as when the server has none yet: asked again sooner.
                 wait = min(every, LATE * self.goal) if ep.busy is None else every
                 ep.probe_due = now + wait * self.uniform(0.8, 1.2)
                 self._ask_load(ep)
+        self.look_due = min((ep.look_at for ep in self.live if ep.look_at > now), default=inf)
 
     def _take_part(self, every: float) -> None:
         """Where own tunnels can't pay for asking their two candidates, and probes by the clock can't keep the
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -541,3 +541,79 @@
     servers[0].probe_due = 130.0
     bal.load_noted(tunnels[0], load, 100.0)
     assert (tunnels[0].load, servers[0].probe_due) == (load, due)
+
+
+@pytest.mark.parametrize(
+    ("opened", "load", "adds"),
+    [(20, 0.002, 0.0005), (20, 0.1, 0.01), (7, 0.002, float("inf")), (20, 4.0, 0.4)],
+)
+def test_a_report_tells_what_own_tunnels_add_at_most(opened: int, load: float, adds: float) -> None:
+    # Guards large, idle servers from being held to be full: 56 tunnels a second on four of them.
+    bal, _, (ep, _) = balancer([0.0, 0.0])
+    for i in range(opened):
+        tun = tunnel(bal)
+        bal._send(tun, ep, 100.0 + i / 1000)
+        bal.opened(tun, 0, 100.1)
+    assert len(ep.recent) == opened
+    bal.probed(ep, "ok", {"load": load}, 101.1)
+    assert ep.adds == pytest.approx(adds) and not ep.recent and not ep.took
+    for _ in range(3):
+        ep.recent.append(101.2)
+    added = 3 * min(adds, bal.load_unit) * bal.balancers
+    assert bal._added(ep) == pytest.approx(added)
+    bal.probed(ep, "ok", {"load": load}, 140.0)
+    assert ep.adds == float("inf")  # no later report has shown it again
+
+
+def test_what_failed_or_is_too_young_shows_nothing_of_what_a_tunnel_adds() -> None:
+    # Guards against servers that fail most setups at once: their load is low, but nothing stands there.
+    bal, _, (ep, _) = balancer([0.0, 0.0])
+    for i in range(20):
+        tun = tunnel(bal)
+        bal._send(tun, ep, 100.0)
+        if i < 10:
+            bal.ended(tun, 0, "error", False, {}, 100.05)
+        else:
+            bal.opened(tun, 0, 100.1)
+    bal.probed(ep, "ok", {"load": 0.001}, 100.3)
+    assert ep.adds == float("inf") and len(ep.took) == 10
+    bal.probed(ep, "ok", {"load": 0.5}, 101.1)
+    assert ep.adds == pytest.approx(0.1)  # by the ten that stand
+
+
+def test_what_a_cold_server_may_get_does_not_follow_what_tunnels_seem_to_add() -> None:
+    # Guards rule 4: tunnels that end soon make a server look large.
+    bal, _, (ep, _) = balancer([0.0, 0.0])
+    bal._learn(0.3)
+    gain = bal.cold_gain
+    for _ in range(20):
+        tun = tunnel(bal)
+        bal._send(tun, ep, 100.0)
+        bal.opened(tun, 0, 100.1)
+        bal.left(tun, 100.2)
+        bal.ended(tun, 0, "cancelled", True, {}, 100.2)
+    bal.probed(ep, "ok", {"load": 0.001}, 101.1)
+    assert ep.adds < bal.load_unit
+    bal._learn(0.0)
+    assert bal.cold_gain == gain
+
+
+def test_tunnels_that_wait_have_a_server_asked_as_soon_as_its_report_can_tell() -> None:
+    bal, notes, (ep, other) = balancer([0.0, 0.0])
+    bal.purse = 1.0
+    for _ in range(8):
+        tun = tunnel(bal)
+        bal._send(tun, ep, 100.0)
+        bal.opened(tun, 0, 100.05)
+    waiting = tunnel(bal)
+    bal.held[waiting] = None
+    for server in (ep, other):
+        server.probe_due, server.heard_at, server.asked_at = 200.0, 100.8, 100.8
+    bal.round_due = 200.0
+    bal.tick_due = 100.0
+    bal.tick(100.9)
+    assert ("probe", ep) not in notes.asked
+    bal.held[waiting] = None
+    bal.tick_due = 100.0
+    bal.tick(101.01)
+    assert ("probe", ep) in notes.asked and ("probe", other) not in notes.asked
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,266 @@
+"""The rig's parts by themselves, and one short run of all of them."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+import pytest
+
+from pointgw import checked
+from pointgw.__main__ import main
+from pointgw.rig import records as rec
+from pointgw.rig import results
+from pointgw.rig.demand import median_work, wishes
+from pointgw.rig.front import Door, Seen, deal
+from pointgw.rig.machine import Health, Held, Machine, Make
+from pointgw.rig.play import Play, Void
+from pointgw.rig.referee import judge
+from pointgw.rig.roster import Line, Roster, Serving
+from pointgw.rig.scenario import Demand, Fleet, Kind, Scenario, Trouble, library, read
+from pointgw.rig.timeline import moments
+
+MAKE = Make(1.0, 100, 0.1, 0.01, 0.001, 0.2, 10.0, 3.0, 2.0, 0.5, 3.0, 0.1)
+
+
+def machine(started: float = 0.0, now: float = 100.0, **changes: Any) -> Machine:
+    return Machine(replace(MAKE, **changes), started, now)
+
+
+def test_load_counts_each_group_once_and_falls_when_tunnels_go() -> None:
+    server = machine()
+    for i in range(4):
+        server.take(Held(f"t{i}", "g" if i < 3 else "", 0.1, 0.0))
+    assert server.load() == pytest.approx(0.5)
+    for i in range(4):
+        server.drop(f"t{i}")
+    server.drop("t0")
+    assert server.load() == 0.0 and not server.groups
+
+
+def test_work_over_capacity_piles_up_slows_answers_and_thrashes() -> None:
+    server = machine()
+    well = server.wait()
+    server.take(Held("t", "", 2.0, 0.0))
+    server.turn(100.5)
+    assert server.piled == pytest.approx(0.5) and server.wait() > 0.5 > well
+    server.turn(102.0)
+    assert server.capacity() == 0.5  # the thrash share is lost
+    server.turn(104.0)
+    assert server.heaviest() == "t"
+
+
+def test_a_cold_server_warms_evenly_and_falls_when_pushed() -> None:
+    server = machine(started=100.0)
+    assert server.warmth() == pytest.approx(0.2)
+    server.turn(105.0)
+    assert server.warmth() == pytest.approx(0.6)
+    server.turn(110.0)
+    assert server.warmth() == 1.0
+    cold = machine(started=100.0)
+    room = int(cold.budget(100.0))
+    healths = []
+    for _ in range(room + 1):
+        cold.setup(100.0)
+        healths.append(cold.health)
+    assert healths == [Health.WELL] * room + [Health.FALLEN]
+    with pytest.raises(ValueError):
+        cold.to(Health.WELL)
+
+
+def line(name: str, status: str = "up") -> Line:
+    return Line(name, "a", "m", 0, status, 0)
+
+
+def test_the_roster_tells_changes_whole_lists_and_starts_anew() -> None:
+    roster = Roster()
+    there = {"s-0": "127.0.0.1:1", "s-1": "127.0.0.1:2"}
+    roster.change(line("s-0"))
+    roster.change(line("s-1"))
+    whole = roster.answer(None, there)
+    assert whole is not None and whole["snapshot"] and len(whole["endpoints"]) == 2
+    assert roster.answer(roster.index, there) is None
+    roster.change(line("s-0", "draining"))
+    news = roster.answer(roster.index - 1, there)
+    assert news is not None and not news["snapshot"] and news["endpoints"][0]["status"] == "draining"
+    roster.serve(Serving.STALE)
+    assert not roster.change(line("s-1", "removed")) and "s-1" in roster.lines
+    assert [held.name for held in roster.serve(Serving.WELL)] == ["s-1"] and "s-1" not in roster.lines
+    before = roster.index
+    roster.restart_lower()
+    again = roster.answer(before, there)
+    assert again is not None and again["snapshot"] and again["index"] == 1
+
+
+def test_the_front_notices_a_dead_balancer_late_and_deals_by_zone() -> None:
+    doors = [Door(0, 0), Door(1, 1)]
+    assert deal(doors, 0, Random(1)) is None
+    for door in doors:
+        door.pinged(True, 1.0)
+    assert {deal(doors, 1, Random(i)) for i in range(20)} == {1}
+    doors[1].pinged(False, 2.0)
+    assert deal(doors, 1, Random(1)) == 1
+    doors[1].pinged(False, 4.1)
+    assert doors[1].seen is Seen.OUT and deal(doors, 1, Random(1)) == 0
+
+
+def test_demand_is_the_same_for_a_seed_and_doubles_in_a_burst() -> None:
+    burst = Trouble(10.0, "burst", 10.0, size=2.0)
+    scenario = Scenario("t", "t", seconds=30.0, demand=Demand(arrivals=50.0), trouble=(burst,))
+    found = list(wishes(scenario))
+    assert found == list(wishes(scenario))
+    assert found != list(wishes(msgspec.structs.replace(scenario, seed=2)))
+    before, during = (sum(a <= w.at < a + 10 for w in found) for a in (0.0, 10.0))
+    assert 1.7 < during / before < 2.4 and [w.at for w in found] == sorted(w.at for w in found)
+    usual = sum(w.life * w.load for w in found) / len(found)
+    assert usual == pytest.approx(median_work(scenario.demand), rel=0.25)
+
+
+def test_troubles_hit_the_same_ones_for_a_seed() -> None:
+    scenario = read("demo")
+    assert moments(scenario) == moments(scenario)
+    for name in library():
+        for moment in moments(read(name)):
+            assert moment.which or moment.trouble.target in ("discovery", "clients")
+    assert len(library()) >= 14
+
+
+@pytest.mark.parametrize(
+    ("told", "path"),
+    [
+        ({"trouble": [{"at": 1.0, "what": "server-kil"}]}, "trouble[0].what"),
+        ({"trouble": [{"at": 39.0, "what": "burst", "seconds": 5.0}]}, "trouble[0].at"),
+        ({"trouble": [{"at": 1.0, "what": "server-kill", "which": [12]}]}, "trouble[0].which"),
+        ({"trouble": [{"at": 1.0, "what": "links"}]}, "trouble[0].rule"),
+        ({"fleet": {"severs": 3}}, "fleet.severs"),
+        ({"demand": {"arrivals": 0}}, "demand.arrivals"),
+        ({"trouble": [{"at": 1.0, "what": "server-start"}]}, "trouble[0].what"),
+    ],
+)
+def test_a_faulty_scenario_is_named(told: dict[str, Any], path: str) -> None:
+    with pytest.raises(checked.Faulty) as found:
+        checked.convert({"name": "t", "about": "t"} | told, Scenario, "f")
+    assert [fault.path for fault in found.value.faults] == [path]
+
+
+def test_recovery_is_told_from_the_seconds_of_service() -> None:
+    shares = [1.0] * 10 + [0.5, 0.6, 0.9, 1.0, 1.0, 1.0, 1.0]
+    found = results._recovery(shares, 10.25, 11.0, "x")
+    assert found == results.Recovery("x", 10.25, 0.5, 2.75)
+    assert results._recovery([1.0] * 10 + [0.5] * 6, 10.0, 11.0, "x").seconds is None
+    assert results._recovery([1.0] * 20, 10.0, 11.0, "x") == results.Recovery("x", 10.0, 1.0, 0.0)
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "verdict"),
+    [
+        ({1: 0.9, 2: 0.8, 3: 0.85}, {1: 0.95, 2: 0.86, 3: 0.9}, "higher"),
+        ({1: 0.9, 2: 0.8, 3: 0.85}, {1: 0.91, 2: 0.78, 3: 0.86}, "within the noise"),
+        ({1: 0.9}, {1: 0.5}, "not told apart by one run"),
+    ],
+)
+def test_a_difference_smaller_than_the_noise_is_said_so(
+    first: dict[int, float], second: dict[int, float], verdict: str
+) -> None:
+    assert results.compare(first, second).verdict == verdict
+
+
+def test_a_stand_in_that_is_itself_the_bottleneck_is_named() -> None:
+    meta = Play(read("calm"), Path("unused"))
+    found: list[rec.AnyRecord] = [rec.Strain(float(t), "clients", 0.2, 0.95) for t in range(1, 9)]
+    found += [rec.Strain(float(t), "s-1", 0.0, 0.1) for t in range(1, 9)]
+    found += [rec.Machine(float(t), 0.02) for t in range(1, 9)]
+    from pointgw.rig.meta import Meta
+
+    told = results.strain(found, Meta(meta.scenario, "srlb", 0.0, 10.0, False, (), {}, {}))
+    assert len(told) == 3 and all("clients" in line or "machine" in line for line in told)
+
+
+# Runs on real sockets.
+
+SHORT = Scenario(
+    "short", "a server dies, a balancer is killed", seconds=7.0,
+    fleet=Fleet(balancers=2, servers=4, kinds=(Kind("m", 1.0, 0.2),)),
+    demand=Demand(arrivals=12.0, standing=20, life=5.0),
+    trouble=(Trouble(2.0, "server-kill", 2.0, (1,)), Trouble(3.0, "balancer-kill", 2.0, (1,))),
+)  # fmt: skip
+
+
+def left_of(folder: Path) -> list[str]:
+    """Processes of a run that are still there."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/environ"):
+        try:
+            if str(folder).encode() in path.read_bytes():
+                found.append(path.parent.name)
+        except OSError:
+            continue
+    return found
+
+
+def test_a_run_with_two_deaths_keeps_the_rules_and_leaves_nothing(tmp_path: Path) -> None:
+    meta = asyncio.run(Play(SHORT, tmp_path).play())
+    found = rec.read(tmp_path)
+    verdict = judge(found, meta)
+    assert verdict.kept and verdict.judged > 60, verdict.breaches
+    told = results.result(found, meta, verdict)
+    assert told.service > 0.2 and told.answers["opened"] > 60 and told.setups["p50"] < 1.0
+    assert [recovery.what for recovery in told.recovery] == ["server-kill", "balancer-kill"]
+    assert not left_of(tmp_path)
+    # The same records without one answer: the referee must say no.
+    first = next(r for r in found if isinstance(r, rec.Answered) and r.how == "opened")
+    assert not judge([r for r in found if r is not first], meta).kept
+
+
+def test_a_part_of_the_rig_that_dies_makes_the_run_void(tmp_path: Path) -> None:
+    async def run() -> None:
+        play = Play(SHORT, tmp_path)
+        playing = asyncio.create_task(play.play())
+        while "clients" not in play.parts:
+            await asyncio.sleep(0.05)
+        play.parts["s-2"].process.kill()
+        with pytest.raises(Void, match="s-2"):
+            await playing
+
+    asyncio.run(run())
+    assert not left_of(tmp_path)
+
+
+def test_an_interrupted_run_leaves_no_process(tmp_path: Path) -> None:
+    folder = tmp_path / "found"
+    command = [sys.executable, "-m", "pointgw", "rig", "run", "calm", "--folder", str(folder)]
+    for name, code in ((signal.SIGINT, 130), (signal.SIGKILL, -9)):
+        run = subprocess.Popen(command, env=os.environ, stderr=subprocess.DEVNULL)
+        deadline = time.monotonic() + 15
+        while not list(folder.glob("*/*/clients.jsonl")) and time.monotonic() < deadline:
+            time.sleep(0.05)
+        balancers = left_of(folder)
+        assert balancers
+        run.send_signal(name)
+        assert run.wait(10) == code
+        deadline = time.monotonic() + 5
+        while left_of(folder) and time.monotonic() < deadline:
+            time.sleep(0.05)
+        assert not left_of(folder)
+        for path in folder.glob("*/*/*"):
+            path.unlink()
+
+
+def test_commands_of_the_rig_say_what_is_wrong(tmp_path: Path, capfd: Any) -> None:
+    assert main(["rig", "run", "nothing-of-the-kind"]) == 2
+    assert "calm" in capfd.readouterr().err
+    path = tmp_path / "result.json"
+    path.write_text("[]")
+    assert main(["rig", "report", str(path)]) == 2
+    assert main(["rig", "report", str(tmp_path / "none")]) == 2
+    assert capfd.readouterr().err.count("\n") == 2
+    assert main(["rig", "list"]) == 0
