--- a/pointgw/command/main.py
+++ b/pointgw/command/main.py
@@ -101,6 +101,39 @@
         return serve_box(listen, to, script, seed, trace)
 
 
+@pointgw.group()
+def state() -> None:
+    """Look at a memory on disk (`[state]` of the operators' file). Nothing is changed."""
+
+
+@state.command("show")
+@click.argument("folder", type=click.Path(file_okay=False))
+@click.option("--json", "as_json", is_flag=True, help="As JSON on standard output.")
+def state_show(folder: str, as_json: bool) -> int:
+    """Each entry with its age in seconds, its trust, and whether it would be used now. Exit 1: damage."""
+    from pointgw.command.state import show
+
+    return show(folder, as_json)
+
+
+@state.command("check")
+@click.argument("folder", type=click.Path(file_okay=False))
+def state_check(folder: str) -> int:
+    """Tell whether every generation is sound. Exit 1: damage, or nothing there."""
+    from pointgw.command.state import check as check_state
+
+    return check_state(folder)
+
+
+@state.command("export")
+@click.argument("folder", type=click.Path(file_okay=False))
+def state_export(folder: str) -> int:
+    """Write the newest sound generation as JSON on standard output."""
+    from pointgw.command.state import export
+
+    return export(folder)
+
+
 @pointgw.command()
 @click.option("--seconds", default=40.0, show_default=True, help="Length of the day.")
 @click.option("--folder", default="found/demo", show_default=True, help="Where records and plot are kept.")
--- /dev/null
+++ b/pointgw/command/state.py
@@ -0,0 +1,72 @@
+"""`pointgw state`: what a memory on disk holds, read without claiming it."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import click
+import msgspec
+
+from pointgw.state.form import Newer
+from pointgw.state.recall import rows
+from pointgw.state.store import Found, Store
+
+
+def _load(folder: str) -> Found | None:
+    try:
+        return Store(folder).load()
+    except Newer as fault:
+        click.echo(f"pointgw state: {folder}: left untouched: {fault}", err=True)
+    except OSError as fault:
+        why = f"expected a folder that can be read ({fault.strerror})"
+        click.echo(f"pointgw state: {folder}: {why}", err=True)
+    return None
+
+
+def _damage(folder: str, found: Found) -> bool:
+    for what in found.lost:
+        click.echo(f"pointgw state: {folder}: damaged: {what}", err=True)
+    return bool(found.lost)
+
+
+def show(folder: str, as_json: bool) -> int:
+    found = _load(folder)
+    if found is None or found.memory is None:
+        if found is not None and not _damage(folder, found):
+            click.echo(f"pointgw state: {folder}: expected a memory, found none", err=True)
+        return 1
+    memory, now = found.memory, time.time()
+    entries = rows(memory, now)
+    if as_json:
+        head = {"generation": found.generation, "age": now - memory.written, "clean": memory.clean}
+        click.echo(json.dumps(head | {"entries": entries, "lost": list(found.lost)}))
+    else:
+        stop = "after a stop in order" if memory.clean else "while serving"
+        click.echo(f"generation {found.generation}, written {now - memory.written:.1f} s ago {stop}")
+        for row in entries:
+            click.echo(
+                f"{row['server']!s:<24} {row['state']!s:<8} age {row['age']:>10} s  trust {row['trust']:<5}"
+                f"  {row['standing']}: {row['why']}"
+            )
+    return 1 if _damage(folder, found) else 0
+
+
+def check(folder: str) -> int:
+    found = _load(folder)
+    if found is None:
+        return 1
+    damaged = _damage(folder, found)
+    if found.memory is None:
+        click.echo(f"{folder}: no sound generation")
+        return 1
+    click.echo(f"{folder}: generation {found.generation} is sound, {len(found.memory.facts)} entries")
+    return 1 if damaged else 0
+
+
+def export(folder: str) -> int:
+    found = _load(folder)
+    if found is None or found.memory is None:
+        return 1
+    click.echo(msgspec.json.encode(msgspec.to_builtins(found.memory)).decode())
+    return 1 if _damage(folder, found) else 0
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from math import ceil, inf
 from random import Random
+from typing import TYPE_CHECKING
 
-from pointgw.interface import Ending, Report
+from pointgw.interface import Ending, Listed, Report
 from pointgw.net.memory import effects as fx
 from pointgw.net.memory.events import (
     Arrived,
@@ -33,6 +35,9 @@
 from pointgw.net.wire.start import Start
 from pointgw.policy import Balancer, Server, State, Tunnel
 
+if TYPE_CHECKING:
+    from pointgw.state.recall import Recalled, Roster
+
 HOLD = 0.5  # of the time after which a balancer that does not ask counts as told: how long a watch waits
 AGAIN = 0.25  # seconds until a tunnel that stood before the run is asked for again
 STANDING = 40.0  # seconds in which such a tunnel must be up
@@ -58,7 +63,15 @@
 class Reducer:
     """All that this balancer keeps."""
 
-    def __init__(self, start: Start, now: float, policy: type[Balancer] = Balancer) -> None:
+    def __init__(
+        self,
+        start: Start,
+        now: float,
+        policy: type[Balancer] = Balancer,
+        roster: Roster | None = None,
+        recalled: Recalled | None = None,
+    ) -> None:
+        self.roster = roster  # what a memory keeps; None: nothing is kept
         self.effects: list[fx.Effect] = []
         self.later: list[tuple[Tunnel, int, Ending]] = []  # ends that follow from what was asked for
         self.clients: dict[int, Client] = {}
@@ -80,7 +93,11 @@
         self.stop_within = min(self.longest, LONGEST) + KILL_AFTER - SPARE
         self.balancer = policy(start.site, self, Random(start.seed), now)
         self.probe_within = self.balancer.goal / 2
-        self._list(start.known, True)
+        if recalled is None:
+            self._list(start.known, True)
+        else:
+            self.index = None  # the whole list is asked for: who else counts its versions is not known
+            self._list(Listing(0, True, recalled.lines, recalled.addresses), True)
 
     def take(self, event: Event, now: float) -> list[fx.Effect]:
         """The one entry: changes the state and gives the effects, in order."""
@@ -100,6 +117,8 @@
             case Slow():
                 self._slow(event)
             case Probed():
+                if self.roster is not None and event.ending == "ok":
+                    self.roster.saw(event.server, now)
                 self.balancer.probed(self.balancer.servers[event.server], event.ending, event.report, now)
             case Told():
                 self._told(event)
@@ -257,7 +276,10 @@
     def _list(self, listing: Listing, cached: bool) -> None:
         for name, host, port in listing.addresses:
             self.addresses[name] = (host, port)
-        self.balancer.listed(listing.servers, listing.whole, cached, self.now)
+        lines: Iterable[Listed] = listing.servers
+        if self.roster is not None and not cached:
+            lines = self.roster.hear(lines, listing.addresses, listing.whole, self.now)
+        self.balancer.listed(lines, listing.whole, cached, self.now)
 
     def _ask(self, hold: float) -> None:
         if not self.asking:
--- a/pointgw/net/run/daemon.py
+++ b/pointgw/net/run/daemon.py
@@ -37,8 +37,13 @@
         operators = Operated.begin(operator)
         if operators is None:
             return 2
+    remembering = None
+    if operators is not None and operators.told.state is not None:
+        from pointgw.net.run.remembering import Remembering
+
+        remembering = Remembering.begin(operators.told.state.folder, told)
     try:
-        run(told, read, operators, policy)
+        run(told, read, operators, policy, remembering)
     except OSError as fault:
         print(f"pointgw: {told.listen[0]}:{told.listen[1]}: {fault}", file=sys.stderr)
         return 1
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from pointgw.net.run.operated import Operated
+    from pointgw.net.run.remembering import Remembering
 
 BACKLOG = 1024  # clients that may come at once
 LOOK = 0.25  # seconds between two looks for connections that bring nothing back
@@ -52,10 +53,12 @@
         again: Callable[[], Start],
         operated: Operated | None = None,
         policy: type[Balancer] = Balancer,
+        remembering: Remembering | None = None,
     ) -> None:
+        self.remembering = remembering
         self.loop, self.start, self.again, self.operated = loop, start, again, operated
         self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
-        self.reducer = Reducer(start, self.now(), policy)
+        self.reducer = self._reducer(policy)
         self.slow_after = self.reducer.balancer.goal / 3
         self.first_within = FIRST_LINE * self.reducer.longest
         self.allowed = _allowed(start.descriptors)
@@ -73,6 +76,17 @@
         self.stopping = False
         self.ended: asyncio.Future[None] = loop.create_future()
 
+    def _reducer(self, policy: type[Balancer]) -> Reducer:
+        if self.remembering is None:
+            return Reducer(self.start, self.now(), policy)
+        from pointgw.net.run.remembering import remind
+
+        recalled = self.remembering.recalled
+        reducer = Reducer(self.start, self.now(), policy, self.remembering.roster, recalled)
+        if recalled is not None:
+            remind(reducer.balancer, recalled, self.now())
+        return reducer
+
     def now(self) -> float:
         return time.monotonic() + self.shift
 
@@ -115,8 +129,12 @@
         self._report()
         about = {"name": self.start.name, "on": f"{host}:{port}", "descriptors": self.allowed}
         _log.info("serving", extra={"fields": about})
+        if self.remembering is not None:
+            self.remembering.keep(self.reducer, self.start.discovery, self.loop)
         await self.ended
         listener.close()
+        if self.remembering is not None:
+            await self.remembering.stop()
 
     def stop(self) -> None:
         if not self.stopping:
@@ -248,8 +266,9 @@
     again: Callable[[], Start],
     operated: Operated | None = None,
     policy: type[Balancer] = Balancer,
+    remembering: Remembering | None = None,
 ) -> None:
     async def main() -> None:
-        await Node(start, asyncio.get_running_loop(), again, operated, policy).serve()
+        await Node(start, asyncio.get_running_loop(), again, operated, policy, remembering).serve()
 
     uvloop.run(main())
--- a/pointgw/net/run/operated.py
+++ b/pointgw/net/run/operated.py
@@ -29,6 +29,7 @@
             return None
 
     def again(self) -> None:
+        before = self.told.state
         try:
             self.told = operators.read(self.path)
         except checked.Faulty as faulty:
@@ -36,7 +37,8 @@
                 _log.error("operators' file refused", extra={"fields": {"why": fault.line(self.path)}})
             return
         self._apply()
-        _log.info("operators' file read", extra={"fields": {"path": self.path}})
+        restart = "state" if self.told.state != before else "-"
+        _log.info("operators' file read", extra={"fields": {"path": self.path, "need_restart": restart}})
 
     def _apply(self) -> None:
         if self.told.log is not None:
--- a/pointgw/operators.py
+++ b/pointgw/operators.py
@@ -20,10 +20,17 @@
     state_every: Annotated[float, msgspec.Meta(ge=0.1, le=3600.0)] = 10.0  # seconds between two state lines
 
 
+class State(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A memory that outlives the balancer."""
+
+    folder: Annotated[str, msgspec.Meta(min_length=1)]  # this balancer's own, on a disk that lasts
+
+
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All sections. A subsystem adds its own here."""
 
     log: Log | None = None
+    state: State | None = None
 
 
 def read(path: str) -> Operators:
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -130,17 +130,17 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "adds", "adds_at", "asked_at", "budget", "budget_at", "busy", "cell", "full_load", "groups",
-        "heard_at", "listed", "look_at", "mark", "name", "out_until", "probe_due", "probing",
-        "recent", "reckoned", "shed_at", "started", "strikes", "took", "trying", "tunnels", "waiting",
-        "warm_at", "zone",
+        "active", "adds", "adds_at", "asked_at", "budget", "budget_at", "busy", "cell", "doubted",
+        "full_load", "groups", "heard_at", "listed", "look_at", "mark", "name", "out_until", "probe_due",
+        "probing", "recent", "reckoned", "shed_at", "started", "strikes", "took", "trying", "tunnels",
+        "waiting", "warm_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
         self.name, self.mark = name, _mark(name)
         self.cell = self.zone = 0
         self.started = 0.0
-        self.active = self.listed = False
+        self.active = self.listed = self.doubted = False
         self.tunnels: dict[Tunnel, None] = {}  # open here, oldest first
         self.groups: dict[str, int] = {}  # of those, how many of each group
         self.trying = 0  # own setups that are out
@@ -237,6 +237,8 @@
                 ep.budget, ep.budget_at = self.uniform(0.0, 1.0), now
                 ep.probe_due = now
                 self._reckon(ep)
+            if not cached:
+                self._vouch(ep, now)
             changed |= ep.active != (line.state == "active")
             ep.active, ep.listed = line.state == "active", True
         if whole:
@@ -265,6 +267,17 @@
         # No answer at all: asked again before this balancer counts as told of what it never heard.
         self.ask_due = now + self.ask_every * self.uniform(0.6, 0.9)
 
+    @staticmethod
+    def doubt(ep: Server) -> None:
+        """Remembered, but for so long that it may be gone: suspended until it is heard of or listed.
+        Guards tunnels from an old memory; where nothing else is ready it takes one at a time."""
+        ep.doubted, ep.out_until = True, inf
+
+    @staticmethod
+    def _vouch(ep: Server, now: float) -> None:
+        if ep.doubted:
+            ep.doubted, ep.out_until = False, now
+
     # Readiness.
 
     def _ready(self, eps: list[Server], now: float) -> list[Server]:
@@ -562,6 +575,7 @@
             tun.to(State.OPEN)
             setup = tun.setups[number]
             setup.began = True
+            self._vouch(setup.ep, now)
             setup.ep.took.append(setup.sent_at)
             if len(setup.ep.took) == SEEN:
                 setup.ep.look_at = setup.sent_at + LATE * self.goal
@@ -660,6 +674,8 @@
 
     def probed(self, ep: Server, ending: Ending, report: Report, now: float) -> None:
         ep.probing, ep.asked_at = False, now
+        if ending == "ok":
+            self._vouch(ep, now)
         if ending == "ok" and report:
             self._heard(ep, report, now)
             self._shed(ep, now)
--- a/pointgw/rig/scenario.py
+++ b/pointgw/rig/scenario.py
@@ -66,6 +66,7 @@
     tells_shares: bool = False  # settings tell how many tunnels the tenants' shares allow
     max_setups: Some = 4
     probe_price: NotUnder = 0.005
+    remembers: bool = False  # balancers keep a memory on disk, in the run's folder
 
 
 class Profile(Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/pointgw/state/keeper.py
@@ -0,0 +1,139 @@
+"""When the memory is written: news of the roster within a second, figures within ten, bounded bytes a second.
+
+The loop only takes the memory and hands it to one thread; a write that hangs holds the next one, never the
+loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from pointgw.state.facts import Memory
+from pointgw.state.form import Newer, encode
+from pointgw.state.store import Found, Owned, Store
+
+NEWS_EVERY = 1.0  # seconds within which news of the roster is durable
+FIGURES_EVERY = 10.0
+LOOK = 0.25  # seconds between two looks for news
+BYTES_A_SECOND = 1_000_000  # written at most, on the mean: larger memories are written less often
+LAST = 0.08  # seconds that the last write has when the balancer stops
+
+_log = logging.getLogger("pointgw.state")
+
+
+@dataclass(slots=True)
+class Figures:
+    """What keeping the memory has cost."""
+
+    written: int = 0  # generations
+    size: int = 0  # bytes
+    failed: int = 0
+    longest: float = 0.0  # seconds that one write took
+
+
+class Keeper:
+    """Writes what `take` gives, as long as the balancer runs.
+
+    `take(clean)` is called on the loop and gives the memory as it stands; `news()` counts changes of the
+    roster.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        take: Callable[[bool], Memory],
+        news: Callable[[], int],
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self.store, self.take, self.news, self.loop = store, take, news, loop
+        self.pool = ThreadPoolExecutor(1, "pointgw-state")
+        self.figures = Figures()
+        self.told = -1  # the news that the latest memory holds
+        self.next_news = self.next_figures = loop.time()
+        self.out: asyncio.Future[int] | None = None
+        self.lost = False  # the latest write failed, which was said once
+        self.timer = loop.call_later(LOOK, self._look)
+
+    def _look(self) -> None:
+        now = self.loop.time()
+        due = now >= self.next_figures or (self.news() != self.told and now >= self.next_news)
+        if due and self.out is None:
+            self._write(False)
+        self.timer = self.loop.call_later(LOOK, self._look)
+
+    def _write(self, clean: bool) -> asyncio.Future[int]:
+        now = self.loop.time()
+        self.told = self.news()
+        memory = self.take(clean)
+        self.out = self.loop.run_in_executor(self.pool, self._save, memory)
+        self.out.add_done_callback(self._written)
+        wait = max(NEWS_EVERY - 2 * LOOK, self.figures.size / max(1, self.figures.written) / BYTES_A_SECOND)
+        self.next_news, self.next_figures = now + wait, now + max(wait, FIGURES_EVERY - LOOK)
+        return self.out
+
+    def _save(self, memory: Memory) -> int:
+        """On the thread."""
+        began = time.monotonic()
+        size = self.store.save(encode(memory))
+        self.figures.longest = max(self.figures.longest, time.monotonic() - began)
+        return size
+
+    def _written(self, out: asyncio.Future[int]) -> None:
+        self.out = None
+        if out.cancelled():
+            return
+        fault = out.exception()
+        if fault is None:
+            self.figures.written += 1
+            self.figures.size += out.result()
+            if self.lost:
+                self.lost = False
+                _log.info("written again", extra={"fields": {"folder": self.store.folder}})
+            return
+        self.figures.failed += 1
+        self.told = -1  # news that is not durable is news still
+        if not self.lost:
+            self.lost = True
+            why = f"{type(fault).__name__} {fault}"
+            _log.error("not written", extra={"fields": {"folder": self.store.folder, "why": why}})
+
+    async def stop(self, clean: bool) -> None:
+        """The last write, if the disk takes it in time; the balancer doesn't wait longer."""
+        self.timer.cancel()
+        try:
+            async with asyncio.timeout(LAST):
+                if self.out is not None:
+                    await asyncio.shield(self.out)
+                await asyncio.shield(self._write(clean))
+        except (TimeoutError, OSError):
+            _log.warning("last write late", extra={"fields": {"folder": self.store.folder}})
+        self.pool.shutdown(wait=False, cancel_futures=True)
+        self.store.release()
+
+
+def begin(folder: str, who: str) -> tuple[Store, Found] | None:
+    """Claims a folder and reads it. None, and one line of the log, where it can't be used."""
+    store = Store(folder)
+    try:
+        store.claim(who)
+        found = store.load()
+    except Newer as fault:
+        store.release()
+        _log.error("left untouched", extra={"fields": {"folder": folder, "why": str(fault)}})
+        return None
+    except Owned as fault:
+        _log.error("held by another", extra={"fields": {"folder": folder, "by": str(fault)}})
+        return None
+    except OSError as fault:
+        store.release()
+        why = f"{type(fault).__name__} {fault}"
+        _log.error("not usable", extra={"fields": {"folder": folder, "why": why}})
+        return None
+    for what in found.lost:
+        _log.error("lost", extra={"fields": {"folder": folder, "what": what}})
+    return store, found
--- /dev/null
+++ b/pointgw/state/merge.py
@@ -0,0 +1,50 @@
+"""What holds when several sources tell of the same servers: one pure join, in whatever order they come. No
+I/O.
+
+For one server, of two facts: the one of the later process wins; of the same process the one that tells it
+away, as no
+merge may bring a drained server back; else the one confirmed later. `left` goes before `leaving`. It is a
+join (idempotent, commutative, associative), so the order of arrival changes nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from pointgw.state.facts import Fact
+
+RANK = {"active": 0, "leaving": 1, "left": 2}
+
+
+def better(one: Fact, other: Fact) -> Fact:
+    """The fact that holds of two about the same server."""
+    won = max(one, other, key=_key)
+    seen = max(one.seen, other.seen) if one.started == other.started else won.seen
+    return _with_seen(won, seen)
+
+
+def _key(fact: Fact) -> tuple[object, ...]:
+    """The rest of the fields only decide where all else is equal, so that the order never does."""
+    return (
+        fact.started, RANK[fact.state], fact.at, fact.host, fact.port, fact.zone, fact.kind, fact.cell,
+        fact.weight,
+    )  # fmt: skip
+
+
+def _with_seen(fact: Fact, seen: float) -> Fact:
+    if fact.seen == seen:
+        return fact
+    return Fact(
+        fact.name, fact.state, fact.started, fact.at, fact.host, fact.port, fact.zone, fact.kind, fact.cell,
+        fact.weight, seen,
+    )  # fmt: skip
+
+
+def merge(*sources: Iterable[Fact]) -> dict[str, Fact]:
+    """What holds of each server, by name; sorted, so that equal contents are equal in order too."""
+    found: dict[str, Fact] = {}
+    for source in sources:
+        for fact in source:
+            known = found.get(fact.name)
+            found[fact.name] = fact if known is None else better(known, fact)
+    return dict(sorted(found.items()))
--- /dev/null
+++ b/pointgw/state/trust.py
@@ -0,0 +1,52 @@
+"""How far an entry of the memory is believed, by its age. No I/O.
+
+An entry's trust falls by half in each usual life of a server of this roster, as servers seen to end tell
+it; before any
+has, `LIFE` is taken. Under `SURE` a server is doubted: nothing goes there until a probe was answered, or,
+where nothing else is ready, one tunnel at a time. What was told away has none, whatever its age.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from pointgw.state.facts import Fact, Lives
+
+FRESH = 30.0  # seconds in which an entry is as good as live: what a restart takes
+SURE = 0.5
+LIFE = 86_400.0  # seconds that servers are taken to live, before any was seen to end
+SEEN_ENDS = 8  # ends from which their own history counts alone
+AHEAD = 1.0  # seconds that clocks may differ; an entry from further ahead has no age
+
+
+class Standing(Enum):
+    """How an entry is used."""
+
+    TRUSTED = "trusted"
+    DOUBTED = "doubted"
+    REFUSED = "refused"
+
+
+def life(lives: Lives) -> float:
+    """The usual life of a server, in seconds: its own history, mixed with `LIFE` while that is short."""
+    known = min(lives.ended, SEEN_ENDS)
+    seen = lives.total / lives.ended if lives.ended else 0.0
+    return max(FRESH, (known * seen + (SEEN_ENDS - known) * LIFE) / SEEN_ENDS)
+
+
+def trust(fact: Fact, lives: Lives, now: float) -> float:
+    """From 0 to 1."""
+    if fact.away:
+        return 0.0
+    age = now - max(fact.at, fact.seen if fact.seen <= now + AHEAD else 0.0)
+    if age < -AHEAD:
+        return 0.0  # guards against a clock that has jumped back: its age is not known
+    if age <= FRESH:
+        return 1.0
+    return float(2.0 ** -((age - FRESH) / life(lives)))
+
+
+def standing(fact: Fact, lives: Lives, now: float) -> Standing:
+    if fact.away:
+        return Standing.REFUSED
+    return Standing.TRUSTED if trust(fact, lives, now) >= SURE else Standing.DOUBTED
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -166,6 +166,23 @@
     assert "asked" in lines[1] and "balancer=0" in lines[1]
 
 
+def test_a_server_of_the_rig_that_was_late_does_not_tell_two_setups_apart() -> None:
+    two: list[rec.AnyRecord] = [asked(), took(10.0), took(10.5, 1), said(10.6, UP, 1), answered(10.7)]
+    two += [gone(11.0), gone(20.0, 1)]
+    assert broken(two) == [2]
+    assert broken([*two, rec.Strain(10.9, "s-0", 0.2, 0.1)]) == []
+    assert broken([*two, rec.Strain(10.9, "s-3", 0.2, 0.1)]) == [2]
+
+
+def test_a_server_that_stood_still_read_late_what_was_sent_before() -> None:
+    stood = [rec.Mark(9.0, 0, "server-pause", [1], False), rec.Mark(15.0, 0, "server-pause", [1], True)]
+    late: list[rec.AnyRecord] = [asked(), took(10.4), said(10.5), answered(10.6), gone(20.0)]
+    late += [took(15.01, 1), gone(15.02, 1)]
+    assert broken([*late, *stood]) == [] and broken(late) == [2]
+    # But once-only: it may have run at both, whatever the order.
+    assert broken([asked(profile=1), *late[1:], *stood]) == [2]
+
+
 def test_boxes_excuse_what_they_may_have_done() -> None:
     garbled: list[rec.AnyRecord] = [asked(), took(10.01), said(10.02), gone(20.0)]
     garbled.append(answered(10.03, "opened", "UP x"))
