What own tunnels add is kept within bounds where reports tell no load

Where the settings' reports have none, or none come, it kept a figure for each tunnel ever opened.

Change: nothing is kept where no report tells a load, and at most 4,000 otherwise: beyond these a report of load 1 bounds a tunnel by the least figure anyway, so no decision changes. Tests: both cases fail without it.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from enum import Enum
 from hashlib import blake2b
@@ -42,6 +43,8 @@
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 SEEN = 8  # own tunnels that a report must show, from which it tells what one of them adds at most
 UNEVEN = 2.0  # times that, as so few may be light by chance
+LIGHTEST = STEP / 100  # load that a tunnel adds at least, whatever reports tell
+MOST_SEEN = round(UNEVEN / LIGHTEST)  # own tunnels beyond which a report of load 1 tells no less
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
 FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
@@ -155,7 +158,7 @@
         self.full_load = 0.0  # load over capacity of the latest report
         self.heard_at = self.asked_at = -inf  # when a report, or the answer to a probe, came
         self.recent: list[float] = []  # when own placements were made that the report does not show yet
-        self.took: list[float] = []  # of those, the ones it has opened
+        self.took: deque[float] = deque(maxlen=MOST_SEEN)  # of those, the ones it has opened
         self.look_at = inf  # when a report shows enough of these
         self.adds, self.adds_at = inf, -inf  # load that one of them adds at most, by a report; when
         self.shed_at = 0.0  # when tunnels were last moved off
@@ -189,6 +192,7 @@
         self.watching, self.ask_due, self.ask_wait = False, now, site.ask_every / 8
         # SR_dyn.
         self.fraction = "connections" not in site.fields
+        self.weighs = "load" in site.fields  # reports tell what own tunnels add
         self.c, self.c_started = 1.0, False
         self.offers = self.accepted = 0
         self.window_at, self.top_at, self.top, self.top_before = now, now, 0.0, 0.0
@@ -317,10 +321,10 @@
         room looks at it, not what a cold server may get: tunnels that ended soon make it look light."""
         seen = sum(at <= cut for at in ep.took)
         if seen >= SEEN:
-            ep.adds, ep.adds_at = max(UNEVEN * ep.full_load / seen, STEP / 100), now
+            ep.adds, ep.adds_at = max(UNEVEN * ep.full_load / seen, LIGHTEST), now
         elif now - ep.adds_at > LONG:
             ep.adds = inf
-        ep.took = [at for at in ep.took if at > cut]
+        ep.took = deque((at for at in ep.took if at > cut), MOST_SEEN)
         ep.look_at = inf if len(ep.took) < SEEN else ep.look_at
 
     def _within_budget(self, ep: Server, now: float) -> bool:
@@ -576,7 +580,8 @@
             setup = tun.setups[number]
             setup.began = True
             self._vouch(setup.ep, now)
-            setup.ep.took.append(setup.sent_at)
+            if self.weighs:
+                setup.ep.took.append(setup.sent_at)
             if len(setup.ep.took) == SEEN:
                 setup.ep.look_at = setup.sent_at + LATE * self.goal
                 self.look_due = min(self.look_due, setup.ep.look_at)
@@ -781,7 +786,7 @@
         if count >= 2 * len(heard) > 0:
             # Never nought, also where the servers report no load at all. It rises slowly: guards one that has
             # just started, holds few tunnels where the others hold many, and would find all servers full.
-            seen = max(total / (count * self.balancers), STEP / 100) if total else STEP
+            seen = max(total / (count * self.balancers), LIGHTEST) if total else STEP
             self.load_unit = min(seen, self.load_unit + (seen - self.load_unit) * min(1.0, span / LONG))
             self.unit = self.load_unit if self.fraction else self.unit
         for ep in self.live:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -581,6 +581,19 @@
     assert ep.adds == pytest.approx(0.1)  # by the ten that stand
 
 
+@pytest.mark.parametrize(("fields", "kept"), [(("connections",), 0), (("load",), 4000)])
+def test_what_own_tunnels_add_is_kept_within_bounds_where_no_report_comes(
+    fields: tuple[str, ...], kept: int
+) -> None:
+    # Guards memory: nothing but a report of the load ever takes these off again.
+    bal, _, (ep, _) = balancer([None, None], fields=fields)
+    for _ in range(5000):
+        tun = tunnel(bal)
+        bal._send(tun, ep, 100.0)
+        bal.opened(tun, 0, 100.1)
+    assert len(ep.took) == kept
+
+
 def test_what_a_cold_server_may_get_does_not_follow_what_tunnels_seem_to_add() -> None:
     # Guards rule 4: tunnels that end soon make a server look large.
     bal, _, (ep, _) = balancer([0.0, 0.0])
