Read again: one start-up for the rig's parts, one place that clears a run's folder, dead code out

What a stand-in server and a balancer are told was put together twice (`play`, `alone`), a run's old files were removed in three places and not in the one that starts it, and arguments were passed on by name twice.

Change: `rig/start_up.py` (no I/O) serves both; `Play` clears what an earlier run left, memories too, which two runs of starting-blind in one folder would have taken over. `Load` and `Alone` are made where their arguments are read. A memory names the discovery in force, also after a reload. Unused fields and constants are gone, docstrings reflowed. No bound, check or expectation was changed. Tests for two doors that none had opened: `pointgw stand-in` with a balancer by hand and `load`, ended by Ctrl-C; and the cleared folder.

--- a/benchmarks/blind.py
+++ b/benchmarks/blind.py
@@ -1,15 +1,14 @@
 """All balancers restart while discovery is silent, shortly after two servers were drained: what reaches
-those, and
-what share is served in the first ten seconds. With a memory, without one, and without one but with
+those, and what share is served in the first ten seconds. With a memory, without one, and without one but with
 discovery up.
 
     python benchmarks/blind.py [--seeds 20] [--beside 5] [--plot docs/design/blind.png]
     python benchmarks/blind.py --ages [--seeds 5]
 
 4 balancers x 12 servers, the scenario `starting-blind`. Runs go `--beside` at a time. `--ages`: a third of
-the servers is
-gone when the balancers come back, and the memory was made ten seconds, an hour, a day and a week old;
-"without trust" is the same memory with its entries' times left as they were, so that all of it is believed.
+the servers is gone when the balancers come back, and the memory was made ten seconds, an hour, a day and a
+week old; "without trust" is the same memory with its entries' times left as they were, so that all of it is
+believed.
 """
 
 from __future__ import annotations
@@ -94,10 +93,6 @@
     between: Callable[[Path], None] | None = None,
 ) -> Seen:
     async with gate:
-        for path in folder.glob("*.jsonl"):
-            path.unlink()
-        for path in folder.glob("state-*/*"):
-            path.unlink()
         seeded = msgspec.structs.replace(scenario, seed=seed)
         meta = await Play(seeded, folder, run=run, between=between).play()
         found = records.read(folder)
--- a/benchmarks/library.py
+++ b/benchmarks/library.py
@@ -27,8 +27,6 @@
 async def one(scenario: Scenario, seed: int, policy: str, folder: Path, run: int) -> Result:
     seeded = msgspec.structs.replace(scenario, seed=seed)
     place = folder / scenario.name / f"{policy}-{seed}"
-    for path in place.glob("*"):
-        path.unlink()
     meta = await Play(seeded, place, policy, run=run).play()
     found = records.read(place)
     return result(found, meta, judge(found, meta))
--- a/pointgw/command/main.py
+++ b/pointgw/command/main.py
@@ -146,7 +146,7 @@
     from pointgw.command.rig import play_and_show
 
     with faulty():
-        return play_and_show("demo", 1, (), "srlb", folder, as_json, True, seconds)
+        return play_and_show("demo", 1, "srlb", folder, as_json, True, seconds)
 
 
 @pointgw.group()
@@ -169,7 +169,7 @@
     from pointgw.command.rig import play_and_show
 
     with faulty():
-        return play_and_show(scenario, seeds, (), policy, folder, as_json, plot, None)
+        return play_and_show(scenario, seeds, policy, folder, as_json, plot, None)
 
 
 @rig.command("list")
@@ -221,8 +221,9 @@
 ) -> int:  # fmt: skip
     """Open tunnels at a rate and tell how long each took from when it was to come."""
     from pointgw.command.rig import load_and_show
+    from pointgw.rig.load import Load
 
-    return load_and_show(to, rate, seconds, life, profile, timeout, seed, as_json)
+    return load_and_show(Load(to, rate, seconds, life, profile, timeout, seed), as_json)
 
 
 @pointgw.command("stand-in")
@@ -241,8 +242,9 @@
 ) -> int:  # fmt: skip
     """Serve as stand-in servers and discovery, in one process, until Ctrl-C."""
     from pointgw.command.rig import stand_in_until_told
+    from pointgw.rig.alone import Alone
 
-    return stand_in_until_told(listen, discovery, servers, capacity, config, balancer)
+    return stand_in_until_told(Alone(listen, discovery, servers, capacity, config, balancer))
 
 
 def command(arguments: list[str]) -> int:
--- a/pointgw/command/rig.py
+++ b/pointgw/command/rig.py
@@ -12,23 +12,23 @@
 
 import click
 import msgspec
+import uvloop
 
 from pointgw import checked
 from pointgw.net.run import log
 from pointgw.rig import meta as rig_meta
 from pointgw.rig import records, table
+from pointgw.rig.alone import Alone
+from pointgw.rig.load import Load
 from pointgw.rig.play import Play, Void
 from pointgw.rig.referee import judge, report
 from pointgw.rig.results import Result, result
 from pointgw.rig.scenario import Scenario, read
 
-CLEARED = ("*.jsonl", "*.log", "n*.json", "meta.json")
-
 
 def play_and_show(
     name: str,
     seeds: int,
-    only: tuple[int, ...],
     policy: str,
     folder: str,
     as_json: bool,
@@ -41,7 +41,7 @@
         scenario = _stretched(scenario, seconds)
     found: list[Result] = []
     try:
-        for seed in only or range(scenario.seed, scenario.seed + seeds):
+        for seed in range(scenario.seed, scenario.seed + seeds):
             found.append(asyncio.run(_play(scenario, seed, policy, Path(folder))))
     except Void as fault:
         click.echo(f"pointgw: void: {fault}", err=True)
@@ -78,9 +78,6 @@
 
 async def _play(scenario: Scenario, seed: int, policy: str, folder: Path) -> Result:
     place = folder / f"{scenario.name}-{policy}" / f"seed-{seed}"
-    for pattern in CLEARED:
-        for path in place.glob(pattern):
-            path.unlink()
     seeded = msgspec.structs.replace(scenario, seed=seed)
     play = asyncio.current_task()
     assert play is not None
@@ -142,40 +139,16 @@
     raise checked.Faulty(path, [checked.Fault("", "", what)])
 
 
-def load_and_show(
-    to: tuple[str, int],
-    rate: float,
-    seconds: float,
-    life: float,
-    profile: str,
-    timeout: float,
-    seed: int,
-    as_json: bool,
-) -> int:
+def load_and_show(load: Load, as_json: bool) -> int:
     """Exit code 1: nothing could be opened."""
-    import uvloop
-
-    from pointgw.rig.load import Load
-
-    told = uvloop.run(Load(to, rate, seconds, life, profile, timeout, seed).run())
+    told = uvloop.run(load.run())
     shown = json.dumps(told) if as_json else "  ".join(f"{name} {value:g}" for name, value in told.items())
     click.echo(shown)
     return 0 if told["opened"] else 1
 
 
-def stand_in_until_told(
-    listen: tuple[str, int],
-    discovery: tuple[str, int],
-    servers: int,
-    capacity: float,
-    config: str | None,
-    balancer: tuple[str, int],
-) -> int:
-    import uvloop
-
-    from pointgw.rig.alone import Alone
-
+def stand_in_until_told(alone: Alone) -> int:
     log.begin("WARNING")
     with suppress(KeyboardInterrupt):
-        uvloop.run(Alone(listen, discovery, servers, capacity, config, balancer).run())
+        uvloop.run(alone.run())
     return 0
--- a/pointgw/faultbox/box.py
+++ b/pointgw/faultbox/box.py
@@ -20,7 +20,6 @@
 SLICE = 0.05  # seconds of a limited rate that are written at a time
 LONGEST_NAME = 4096  # bytes of a first line by which a connection is known
 TRACED = 1_000_000  # lines of trace that are kept
-FOREVER = float("inf")
 
 Address = tuple[str, int]
 
--- a/pointgw/faultbox/schedule.py
+++ b/pointgw/faultbox/schedule.py
@@ -13,7 +13,7 @@
 from enum import Enum
 from random import Random
 
-from pointgw.faultbox.script import ON_BOTH, ON_LINES, Rule, Script
+from pointgw.faultbox.script import LASTING, ON_BOTH, ON_LINES, Rule, Script
 
 LONGEST_HELD = 64 * 1024  # bytes of a line that is held to be doubled or replaced
 NEWLINE = 10
@@ -188,7 +188,7 @@
                 continue
             rule = standing.rule
             standing.to(Phase.ACTING)
-            if rule.act in ON_LINES or rule.act in ("delay", "rate"):
+            if rule.act in (*ON_LINES, *LASTING):
                 if rule.act == "rate":
                     self._note(standing, f"bytes_per_second={rule.bytes_per_second}")
                 continue
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -130,7 +130,7 @@
         about = {"name": self.start.name, "on": f"{host}:{port}", "descriptors": self.allowed}
         _log.info("serving", extra={"fields": about})
         if self.remembering is not None:
-            self.remembering.keep(self.reducer, self.start.discovery, self.loop)
+            self.remembering.keep(self.reducer, self.loop)
         await self.ended
         listener.close()
         if self.remembering is not None:
--- a/pointgw/net/run/remembering.py
+++ b/pointgw/net/run/remembering.py
@@ -55,9 +55,9 @@
         roster = recalled.roster if recalled is not None else Roster({fact.name: fact for fact in known})
         return cls(store, mark, roster, recalled)
 
-    def keep(self, reducer: Reducer, discovery: tuple[str, int], loop: asyncio.AbstractEventLoop) -> None:
+    def keep(self, reducer: Reducer, loop: asyncio.AbstractEventLoop) -> None:
         def take(clean: bool) -> facts.Memory:
-            now = time.time()
+            now, discovery = time.time(), reducer.discovery  # the one in force: a reload may have turned
             return facts.Memory(
                 self.fingerprint, now, reducer.index, f"{discovery[0]}:{discovery[1]}", clean,
                 self.roster.kept(now), health(reducer.balancer, now), figures(reducer.balancer),
--- a/pointgw/rig/alone.py
+++ b/pointgw/rig/alone.py
@@ -5,29 +5,23 @@
 import asyncio
 import json
 import os
+import socket
 import tempfile
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from pointgw.rig.demand import median_work
+from pointgw.rig import start_up
 from pointgw.rig.discovery import Discovery
 from pointgw.rig.layout import Address, shown
-from pointgw.rig.machine import Make
 from pointgw.rig.records import Writer
-from pointgw.rig.scenario import Fleet, Kind, Scenario, settings
+from pointgw.rig.roster import Line
+from pointgw.rig.scenario import Fleet, Kind, Scenario
 from pointgw.rig.server import Server
 
 
-def make(fleet: Fleet, capacity: float, work: float) -> Make:
-    """A server of the fleet; `work`: of a tunnel in its life."""
-    return Make(
-        capacity, fleet.holds, fleet.group_cost, fleet.setup_work, fleet.message_work, fleet.cold_from,
-        fleet.cold_seconds, fleet.tip_multiple, fleet.tip_seconds, fleet.thrash, fleet.drops_after, work,
-    )  # fmt: skip
-
-
 class Alone:
     """`servers` servers on ports from `listen`'s on (0: free ones), and discovery."""
 
@@ -49,51 +43,29 @@
 
     async def start(self) -> None:
         """Starts all, and writes the balancer's start-up file where one was asked for."""
-        loop = asyncio.get_running_loop()
         fleet, writer = self.scenario.fleet, Writer(os.devnull)
-        made = msgspec.to_builtins(make(fleet, self.capacity, median_work(self.scenario.demand)))
-        lines: list[dict[str, Any]] = []
+        lines: list[Line] = []
         addresses: dict[str, str] = {}
         self.servers: list[Server] = []
         for i in range(fleet.servers):
             at = (self.listen[0], self.listen[1] + i if self.listen[1] else _free(self.listen[0]))
             name = f"s-{i}"
-            told = {
-                "who": name, "seed": 1, "start": 1, "since": 0.0, "make": made, "listen": [at],
-                "tells_load": fleet.tells_load, "report_every": fleet.report_every,
-                "report_late": fleet.report_late, "report_noise": fleet.report_noise,
-            }  # fmt: skip
+            told = {"who": name, "seed": 1} | start_up.server(self.scenario, self.capacity, 1, 0.0, [at])
             server = Server(told, writer)
             await server.serve()
             self.servers.append(server)
             addresses[name] = shown(at)
-            zone = fleet.zones[i % len(fleet.zones)]
-            lines.append(
-                {"name": name, "zone": zone, "kind": "m", "cell": 0, "status": "up", "since_ms": 0}
-            )
+            lines.append(Line(name, fleet.zones[i % len(fleet.zones)], "m", 0, "up", 0))
         if not self.discovery[1]:
             self.discovery = (self.discovery[0], _free(self.discovery[0]))
-        told = {"seed": 1, "addresses": [addresses], "listen": [self.discovery], "lines": lines}
-        self.roster = Discovery(told, writer)
+        told = {"seed": 1, "addresses": [addresses], "listen": [self.discovery]}
+        self.roster = Discovery(told | {"lines": [asdict(line) for line in lines]}, writer)
         await self.roster.serve()
-        self.loop = loop
         if self.config is not None:
-            Path(self.config).write_text(json.dumps(self.start_up(addresses, lines), indent=1))
-
-    def start_up(self, addresses: dict[str, str], lines: list[dict[str, Any]]) -> dict[str, Any]:
-        """What a balancer in front of these is told."""
-        known = [
-            {
-                "name": line["name"], "address": addresses[line["name"]], "zone": line["zone"],
-                "type": "m", "group": 0, "status": "up", "weight": 1.0, "since_ms": 0,
-            }
-            for line in lines
-        ]  # fmt: skip
-        return {
-            "name": "n0", "listen": shown(self.balancer), "discovery": shown(self.discovery), "seed": "1",
-            "limits": {"sockets": 60_000}, "known": {"index": 0, "snapshot": True, "endpoints": known},
-            "settings": settings(self.scenario, 0),
-        }  # fmt: skip
+            config = start_up.balancer(
+                self.scenario, "n0", 0, 1, self.balancer, self.discovery, lines, addresses
+            )
+            Path(self.config).write_text(json.dumps(config, indent=1))
 
     async def run(self) -> None:
         """Until it is cancelled."""
@@ -106,8 +78,6 @@
 
 
 def _free(host: str) -> int:
-    import socket
-
     with socket.socket() as sock:
         sock.bind((host, 0))
         return int(sock.getsockname()[1])
--- a/pointgw/rig/play.py
+++ b/pointgw/rig/play.py
@@ -6,32 +6,33 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import sys
 import time
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from typing import Any, Literal
 
 import msgspec
 
+from pointgw.rig import start_up
 from pointgw.rig.baseline import POLICIES
-from pointgw.rig.demand import median_work
 from pointgw.rig.layout import Address, Layout, shown
-from pointgw.rig.machine import Make
 from pointgw.rig.meta import Meta
 from pointgw.rig.records import Balancer, Machine, Mark, Writer
-from pointgw.rig.scenario import Fleet, Scenario, settings
+from pointgw.rig.roster import Line
+from pointgw.rig.scenario import Fleet, Scenario
 from pointgw.rig.timeline import Moment, moments
 
 READY = 20.0  # seconds that a part has to be ready
 AFTER = 2.5  # seconds after the end in which last answers still come
-TOOL_SPAN = 1.0  # seconds between two looks at the machine
+LEFT = ("*.jsonl", "*.log", "n*.json", "n*.toml", "meta.json", "state-n*")  # what a run writes
+LOOK = 1.0  # seconds between two looks at the machine
 BEGIN = 0.3  # seconds from all parts ready to the first client
 ENDS = 6.0  # seconds that a balancer told to stop has
 
-
 Noted = Literal["killed", "stopping", "ended", "reloaded", "paused", "resumed"]
 
 
@@ -97,7 +98,7 @@
 
     async def play(self) -> Meta:
         """Raises `Void` where a part of the rig failed. Nothing is left running, however it ends."""
-        self.folder.mkdir(parents=True, exist_ok=True)
+        self._clear()
         self.writer = Writer(str(self.folder / "rig.jsonl"))
         self.failed = asyncio.get_running_loop().create_future()
         try:
@@ -116,6 +117,16 @@
         (self.folder / "meta.json").write_bytes(msgspec.json.encode(meta))
         return meta
 
+    def _clear(self) -> None:
+        """Guards a run from the records and memories of an earlier one in the same folder."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        for pattern in LEFT:
+            for path in self.folder.glob(pattern):
+                if path.is_dir():
+                    shutil.rmtree(path)
+                else:
+                    path.unlink()
+
     async def _play(self) -> Meta:
         self.keeper = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "pointgw.rig.keeper", stdin=asyncio.subprocess.PIPE, start_new_session=True
@@ -185,12 +196,9 @@
     def _zone_of(self, balancer: int) -> int:
         return balancer % len(self.fleet.zones)
 
-    def _line(self, server: int, status: str, since: float) -> dict[str, Any]:
-        return {
-            "name": self._name(server), "zone": self.fleet.zones[self._zone(server)],
-            "kind": self.kinds[server].name, "cell": self._cell(server), "status": status,
-            "since_ms": round(since * 1e3),
-        }  # fmt: skip
+    def _line(self, server: int, status: str, since: float) -> Line:
+        zone, kind = self.fleet.zones[self._zone(server)], self.kinds[server].name
+        return Line(self._name(server), zone, kind, self._cell(server), status, round(since * 1e3))
 
     def _addresses(self, balancer: int) -> dict[str, str]:
         """Of each server, as this balancer is told them."""
@@ -248,26 +256,17 @@
 
     async def _start_server(self, server: int, since: float) -> None:
         """`since`: when it starts, as discovery will tell; 0: long ago, so that it is warm."""
-        fleet = self.fleet
         self.starts[server] = self.starts.get(server, 0) + 1
-        make = Make(
-            self.kinds[server].capacity, fleet.holds, fleet.group_cost, fleet.setup_work, fleet.message_work,
-            fleet.cold_from, fleet.cold_seconds, fleet.tip_multiple, fleet.tip_seconds, fleet.thrash,
-            fleet.drops_after, median_work(self.scenario.demand),
-        )  # fmt: skip
-        told = {
-            "start": self.starts[server], "since": since, "make": msgspec.to_builtins(make),
-            "listen": [self.layout.server(server, b) for b in range(fleet.balancers)],
-            "tells_load": fleet.tells_load, "report_every": fleet.report_every,
-            "report_late": fleet.report_late, "report_noise": fleet.report_noise,
-        }  # fmt: skip
+        listen = [self.layout.server(server, b) for b in range(self.fleet.balancers)]
+        capacity, start = self.kinds[server].capacity, self.starts[server]
+        told = start_up.server(self.scenario, capacity, start, since, listen)
         await self._part(self._name(server), "server", told)
 
     async def _start_discovery(self) -> None:
         told = {
             "listen": [self.layout.discovery(b) for b in range(self.fleet.balancers)],
             "addresses": [self._addresses(b) for b in range(self.fleet.balancers)],
-            "lines": [self._line(i, "up", 0.0) for i in range(self.fleet.servers)],
+            "lines": [asdict(self._line(i, "up", 0.0)) for i in range(self.fleet.servers)],
         }
         await self._part("discovery", "discovery", told)
 
@@ -285,22 +284,11 @@
 
     async def _start_balancer(self, number: int) -> None:
         name = f"n{number}"
-        endpoints = [self._line(i, "up", 0.0) for i in range(self.fleet.servers)]
-        known = [
-            {
-                "name": line["name"], "address": self._addresses(number)[line["name"]],
-                "zone": line["zone"], "type": line["kind"], "group": line["cell"], "status": "up",
-                "weight": 1.0, "since_ms": 0,
-            }
-            for line in endpoints
-        ]  # fmt: skip
-        told = {
-            "name": name, "listen": shown(self.layout.balancer(number)),
-            "discovery": shown(self.layout.discovery(number)),
-            "seed": f"{self.scenario.seed * 1000 + number:x}", "limits": {"sockets": 60_000},
-            "known": {"index": 0, "snapshot": True, "endpoints": known},
-            "settings": settings(self.scenario, self._zone_of(number)),
-        }  # fmt: skip
+        told = start_up.balancer(
+            self.scenario, name, self._zone_of(number), self.scenario.seed * 1000 + number,
+            self.layout.balancer(number), self.layout.discovery(number),
+            [self._line(i, "up", 0.0) for i in range(self.fleet.servers)], self._addresses(number),
+        )  # fmt: skip
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(told, indent=1))
         module = ["pointgw"] if self.policy == "srlb" else ["pointgw.rig.baseline", self.policy]
@@ -335,8 +323,7 @@
         trouble = moment.trouble
         kind, _, act = trouble.what.partition("-")
         if kind == "balancer":
-            doing: Callable[[int, Moment], Awaitable[None]] = self._balancer
-            await asyncio.gather(*(doing(number, moment) for number in moment.which))
+            await asyncio.gather(*(self._balancer(number, moment) for number in moment.which))
         elif trouble.target == "server":
             await asyncio.gather(*(self._server(number, moment, act) for number in moment.which))
         elif kind == "discovery":
@@ -354,13 +341,11 @@
             ]
             self.parts["links"].tell({"names": names, "rule": rules})
 
-    def _signal(self, who: str, name: signal.Signals) -> bool:
-        part = self.parts[who]
-        if part.process.returncode is not None:
-            return False
-        with contextlib.suppress(ProcessLookupError):
-            part.process.send_signal(name)
-        return True
+    def _signal(self, who: str, name: signal.Signals) -> None:
+        process = self.parts[who].process
+        if process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(name)
 
     async def _kill(self, who: str) -> None:
         part = self.parts[who]
@@ -451,8 +436,8 @@
         else:
             self.parts[who].tell({"what": act, "size": trouble.size})
 
-    def _list(self, line: dict[str, Any]) -> None:
-        self.parts["discovery"].tell({"what": "change", "line": line})
+    def _list(self, line: Line) -> None:
+        self.parts["discovery"].tell({"what": "change", "line": asdict(line)})
 
     def _discovery(self, moment: Moment, act: str) -> None:
         if act == "lower":
@@ -467,7 +452,7 @@
         """Writes down how busy the machine is, and shows how far the run is."""
         before = _times()
         while True:
-            await asyncio.sleep(TOOL_SPAN)
+            await asyncio.sleep(LOOK)
             after = _times()
             spent, idle = sum(after) - sum(before), after[3] - before[3]
             before = after
@@ -478,11 +463,9 @@
     async def _end_all(self) -> None:
         for task in list(self.tasks):
             task.cancel()
-        for part in self.parts.values():
+        for who, part in self.parts.items():
             part.expected = True
-            if part.process.returncode is None:
-                with contextlib.suppress(ProcessLookupError):
-                    part.process.kill()
+            self._signal(who, signal.SIGKILL)
         for part in self.parts.values():
             await part.process.wait()
             if part.watch is not None:
--- a/pointgw/rig/referee.py
+++ b/pointgw/rig/referee.py
@@ -85,9 +85,7 @@
     """One setup as its server saw it."""
 
     server: str
-    balancer: int
     took: float
-    began: float
     said: str  # its answer, or nothing
     over: float  # when it was over there
     timed: bool  # its server's word on times can be taken
@@ -251,7 +249,7 @@
                 over.append(said.t)
             over += [t for t in self.starts[took.server] if t > took.t][:1]
             timed = not self._disturbed(took)
-            setups.append(Setup(took.server, took.balancer, took.t, took.began, word, min(over), timed))
+            setups.append(Setup(took.server, took.t, word, min(over), timed))
         return setups
 
     def _disturbed(self, took: rec.Took) -> bool:
--- a/pointgw/state/form.py
+++ b/pointgw/state/form.py
@@ -2,8 +2,8 @@
 
     pointgw-state VERSION DIGEST LENGTH LF payload
 
-The digest covers the version, the length and the payload, so that a flipped bit anywhere is damage and not
-a fact.
+The digest covers the version, the length and the payload, so that a flipped bit anywhere is damage and not a
+fact.
 """
 
 from __future__ import annotations
--- a/pointgw/state/keeper.py
+++ b/pointgw/state/keeper.py
@@ -1,14 +1,13 @@
 """When the memory is written: news of the roster within a second, figures within ten, bounded bytes a second.
 
-The loop only takes the memory and hands it to one thread; a write that hangs holds the next one, never the
-loop.
+The loop only takes the memory and hands it to one thread; a write that hangs holds the next one, never
+the loop.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -33,7 +32,6 @@
     written: int = 0  # generations
     size: int = 0  # bytes
     failed: int = 0
-    longest: float = 0.0  # seconds that one write took
 
 
 class Keeper:
@@ -78,10 +76,7 @@
 
     def _save(self, memory: Memory) -> int:
         """On the thread."""
-        began = time.monotonic()
-        size = self.store.save(encode(memory))
-        self.figures.longest = max(self.figures.longest, time.monotonic() - began)
-        return size
+        return self.store.save(encode(memory))
 
     def _written(self, out: asyncio.Future[int]) -> None:
         self.out = None
--- a/pointgw/state/merge.py
+++ b/pointgw/state/merge.py
@@ -1,10 +1,8 @@
-"""What holds when several sources tell of the same servers: one pure join, in whatever order they come. No
-I/O.
+"""What holds when several sources tell of the same servers: one pure join, whatever their order. No I/O.
 
 For one server, of two facts: the one of the later process wins; of the same process the one that tells it
-away, as no
-merge may bring a drained server back; else the one confirmed later. `left` goes before `leaving`. It is a
-join (idempotent, commutative, associative), so the order of arrival changes nothing.
+away, as no merge may bring a drained server back; else the one confirmed later. `left` goes before `leaving`.
+It is a join (idempotent, commutative, associative), so the order of arrival changes nothing.
 """
 
 from __future__ import annotations
--- a/pointgw/state/recall.py
+++ b/pointgw/state/recall.py
@@ -1,9 +1,8 @@
 """From a memory to what a balancer starts with, and back. No I/O.
 
-`Recalled` is what the start-up file's list and the memory give together. `Roster` is kept beside the
-reducer: it hears
-every list, keeps what was told away and when each entry was confirmed, and holds lists of discovery against
-that.
+`Recalled` is what the start-up file's list and the memory give together. `Roster` is kept beside the reducer:
+it hears every list, keeps what was told away and when each entry was confirmed, and holds lists of discovery
+against that.
 """
 
 from __future__ import annotations
--- a/pointgw/state/store.py
+++ b/pointgw/state/store.py
@@ -1,9 +1,8 @@
 """Whole files in generations: each is written aside, made durable, and only then given its name.
 
-A crash at any byte leaves the generation before it, which is kept until the one after the next. The folder
-is held by
-one process at a time. All calls block: they belong on a thread of their own. `step` is called before each
-call of the system that writes, so that tests can die there.
+A crash at any byte leaves the generation before it, which is kept until the one after the next. The folder is
+held by one process at a time. All calls block: they belong on a thread of their own. `step` is called before
+each call of the system that writes, so that tests can die there.
 """
 
 from __future__ import annotations
--- a/pointgw/state/trust.py
+++ b/pointgw/state/trust.py
@@ -1,9 +1,9 @@
 """How far an entry of the memory is believed, by its age. No I/O.
 
-An entry's trust falls by half in each usual life of a server of this roster, as servers seen to end tell
-it; before any
-has, `LIFE` is taken. Under `SURE` a server is doubted: nothing goes there until a probe was answered, or,
-where nothing else is ready, one tunnel at a time. What was told away has none, whatever its age.
+An entry's trust falls by half in each usual life of a server of this roster, as servers seen to end tell it;
+before any has, `LIFE` is taken. Under `SURE` a server is doubted: nothing goes there until a probe was
+answered, or, where nothing else is ready, one tunnel at a time. What was told away has none, whatever its
+age.
 """
 
 from __future__ import annotations
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -251,10 +251,40 @@
         while left_of(folder) and time.monotonic() < deadline:
             time.sleep(0.05)
         assert not left_of(folder)
-        for path in folder.glob("*/*/*"):
+        for path in folder.glob("*/*/clients.jsonl"):
             path.unlink()
 
 
+def test_a_run_does_not_take_over_what_an_earlier_one_left(tmp_path: Path) -> None:
+    # Guards against balancers that remember the servers drained in the run before.
+    (tmp_path / "state-n0").mkdir()
+    for name in ("state-n0/state.1", "s-9.jsonl", "n0.toml", "kept.txt"):
+        (tmp_path / name).write_text("old")
+    Play(SHORT, tmp_path)._clear()
+    assert [path.name for path in tmp_path.iterdir()] == ["kept.txt"]
+
+
+def test_stand_ins_a_balancer_by_hand_and_load_and_all_end_when_told(tmp_path: Path, capfd: Any) -> None:
+    config, door = tmp_path / "config.json", f"127.{200 + os.getpid() % 50}.0.1:18443"
+    command = [sys.executable, "-m", "pointgw"]
+    aside = ["--config", str(config), "--balancer", door]
+    stand_in = subprocess.Popen([*command, "stand-in", *aside], stdout=subprocess.PIPE)
+    assert stand_in.stdout is not None
+    assert stand_in.stdout.readline().startswith(b"4 servers from 127.0.0.1:")
+    balancer = subprocess.Popen(command, env=os.environ | {"GW_CONFIG": str(config)}, stderr=subprocess.PIPE)
+    assert balancer.stderr is not None
+    while b"event=serving" not in balancer.stderr.readline():
+        assert balancer.poll() is None
+    assert main(["load", "--to", door, "--rate", "40", "--seconds", "1", "--life", "0.2", "--json"]) == 0
+    told = msgspec.json.decode(capfd.readouterr().out)
+    assert told["opened"] == told["asked"] > 20 and told["p99_ms"] < 1800
+    balancer.terminate()
+    stand_in.send_signal(signal.SIGINT)
+    assert balancer.wait(10) == 0 and stand_in.wait(10) == 0
+    balancer.stderr.close()
+    stand_in.stdout.close()
+
+
 def test_commands_of_the_rig_say_what_is_wrong(tmp_path: Path, capfd: Any) -> None:
     assert main(["rig", "run", "nothing-of-the-kind"]) == 2
     assert "calm" in capfd.readouterr().err
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -446,7 +446,7 @@
     ep = balancer.servers["s-1"]
     ep.strikes, ep.out_until, ep.budget = 3, now + 5.0, -2.0
     balancer.c, balancer.load_unit, balancer.cold_gain = 0.4, 0.012, 0.3
-    made.keep(reducer, ("127.0.0.1", 2), loop := asyncio.new_event_loop())
+    made.keep(reducer, loop := asyncio.new_event_loop())
     assert made.keeper is not None
     made.roster.confirm(now)
     told = made.keeper.take(False)
