Shared room is bounded, and acts only where the balancers outnumber the servers

Change: it acts where the balancers outnumber the servers, counts tunnels that are held and not those sent, 0.1 of load at most.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -215,7 +215,6 @@
         self.tick_due = inf
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}  # held or asking
-        self.sent: deque[float] = deque(maxlen=MOST_SEEN)  # when own tunnels were sent lately
         # Those of `live` that this balancer uses, where it can't use all; its start among every n-th.
         self.part: list[Server] | None = None
         self.start = self.chance()
@@ -323,15 +322,14 @@
         return len(ep.recent) * (min(self.load_unit, ep.adds) * self.balancers)
 
     def _crowd(self, now: float) -> float:
-        """Load that the others may add to a server heard to have room, if they have as many tunnels to place
-        as this balancer and all hear of it. Each reckons with a part of it by chance, so that on the mean the
-        tunnels sent fill the room and no more.
+        """Load that the others may add to a server that has room, if as many tunnels wait at them and all
+        hear of it; NEWS at most. Each reckons with a part of it by chance.
         Guards against many balancers that each send a tunnel for the same little room."""
-        while self.sent and self.sent[0] < now - LATE * self.goal:
-            self.sent.popleft()
-        theirs = (len(self.held) + len(self.sent)) * (self.balancers - 1) * self.load_unit
+        if self.balancers <= len(self.live):
+            return 0.0
+        theirs = len(self.held) * (self.balancers - 1) * self.load_unit
         where = sum(ep.reckoned < self.full and ep.out_until <= now for ep in self.live)
-        return min(FULL, theirs / max(1, where))
+        return min(NEWS, theirs / max(1, where))
 
     @staticmethod
     def _believe(ep: Server, now: float, cut: float) -> None:
@@ -579,7 +577,6 @@
         tun.setups.append(Setup(ep, now))
         tun.to(State.SETTING_UP)
         ep.recent.append(now)
-        self.sent.append(now)
         ep.trying += 1
         self._reckon(ep)
         if ep.warm_at > now:
