--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -137,9 +137,8 @@
     __slots__ = (
         "active", "adds", "adds_at", "asked_at", "budget", "budget_at", "busy", "cell", "doubted",
         "full_load", "groups", "heard_at", "listed", "look_at", "mark", "name", "others", "out_until",
-        "probe_due",
-        "probing", "recent", "reckoned", "shed_at", "size", "started", "strikes", "took", "trying", "tunnels",
-        "waiting", "warm_at", "zone",
+        "probe_due", "probing", "recent", "reckoned", "shed_at", "size", "started", "strikes", "took",
+        "trying", "tunnels", "waiting", "warm_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
