--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -55,6 +55,8 @@
 SEVERAL = 3  # own tunnels at a server over which probes of it are paid for by those that stand
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
+HOLD = 1.5  # times the longest that a server which fails by turns stayed up: how long it must be back
+RESTARTED = 0.5  # of the figure it had: under this a server that had no process is taken to be a new one
 SETTLE = 4  # setup goals for a move off to show in the reports
 SILENT = 8  # setup goals without an answer after which an open tunnel's server is taken to be gone
 
@@ -135,10 +137,10 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "adds", "adds_at", "asked_at", "budget", "budget_at", "busy", "cell", "doubted",
-        "full_load", "groups", "heard_at", "listed", "look_at", "mark", "name", "others", "out_until",
-        "probe_due", "probing", "recent", "reckoned", "shed_at", "size", "started", "strikes", "took",
-        "trying", "tunnels", "waiting", "warm_at", "zone",
+        "active", "adds", "adds_at", "asked_at", "back_at", "budget", "budget_at", "busy", "cell", "doubted",
+        "down", "full_load", "groups", "heard_at", "hold_until", "listed", "look_at", "mark", "name", "others",
+        "out_until", "probe_due", "probing", "recent", "reckoned", "shed_at", "size", "spell", "started",
+        "strikes", "took", "trial_due", "trying", "tunnels", "waiting", "warm_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -152,6 +154,10 @@
         self.probing = False
         self.waiting: list[Tunnel] = []  # tunnels that wait for the answer to a probe
         self.probe_due = 0.0
+        self.down = False  # it was found without a process, and has not answered since
+        self.back_at = -inf  # when it was last back from that, by the list or by an answer
+        self.spell = 0.0  # the longest time that it lately stayed up between two such falls
+        self.hold_until = 0.0  # not ready before this, as it fails by turns
         self.forget()
 
     def forget(self) -> None:
@@ -169,6 +175,7 @@
         self.warm_at = 0.0  # when a process that started lately has its full capacity at the latest
         self.strikes = 0
         self.out_until = 0.0  # not ready before this
+        self.trial_due = 0.0  # when it may be tried though suspended, where nothing else is ready
         self.budget, self.budget_at = 0.0, 0.0  # tunnels that may be sent while it is cold
 
 
@@ -240,13 +247,10 @@
             self.servers[line.server] = ep
             ep.cell, ep.zone, ep.size = line.cell, line.zone, line.weight if self.sized else 1.0
             if line.started != ep.started:
-                ep.started = line.started
-                ep.forget()
-                ep.warm_at = line.started + self.cold_time if line.started else 0.0
-                # The balancers must not all spend a first tunnel at the same moment.
-                ep.budget, ep.budget_at = self.uniform(0.0, 1.0), now
-                ep.probe_due = now
-                self._reckon(ep)
+                if ep.started or ep.listed:
+                    self._fell(ep, line.started)
+                ep.started, ep.probe_due = line.started, now
+                self._start(ep, line.started, now)
             if not cached and line.state != "left":
                 self._vouch(ep, now)
             was, ep.listed = ep.active, line.state != "left"
@@ -270,6 +274,15 @@
             self._ask(now)
         self._serve_held(now)
 
+    def _start(self, ep: Server, at: float, now: float) -> None:
+        """A process that started then, cold unless that is long ago."""
+        ep.forget()
+        ep.warm_at = at + self.cold_time if at else 0.0
+        # The balancers must not all spend a first tunnel at the same moment.
+        ep.budget, ep.budget_at = self.uniform(0.0, 1.0), now
+        self._back(ep, at)
+        self._reckon(ep)
+
     def _stays(self, ep: Server) -> bool:
         """Whether a server in use that the list no longer has stays so: the list may be wrong about it."""
         if self.drain_binds_alone and not ep.listed:
@@ -306,7 +319,8 @@
         return [
             ep
             for ep in self._with_room(eps, now)
-            if ep.out_until <= now and (ep.warm_at <= now or self._within_budget(ep, now))
+            if ep.out_until <= now and ep.hold_until <= now
+            and (ep.warm_at <= now or self._within_budget(ep, now))
         ]
 
     def _with_room(self, eps: list[Server], now: float) -> list[Server]:
@@ -362,7 +376,7 @@
         Guards against many balancers that have all kept a tunnel and send it at the same moment."""
         if ep.warm_at <= now:
             return True
-        age = now - ep.started
+        age = now - (ep.warm_at - self.cold_time)
         share = self.cold_share + (1 - self.cold_share) * max(0.0, age) / self.cold_time
         gain = self.cold_gain * share * min(ep.size / self.mean_size, LARGEST)
         ep.budget, ep.budget_at = ep.budget + gain * (now - ep.budget_at), now
@@ -384,12 +398,15 @@
         if not ready and pool is not self.live:
             self.part = None  # the others serve until the next round
             return self._candidates(tun, now)
-        # Guards against being left without servers, and against a storm: a suspended one has one setup out.
+        # Guards against being left without servers, and against a storm: a suspended one has one setup out,
+        # and after each that failed, however it did, none for a while.
         if not ready:
             ready = [
                 ep
                 for ep in self._with_room(able, now)
-                if ep.out_until > now and not ep.trying and self._within_budget(ep, now)
+                if max(ep.out_until, ep.hold_until) > now >= ep.trial_due
+                and not ep.trying
+                and self._within_budget(ep, now)
             ]
         return ready
 
@@ -637,7 +654,9 @@
             for ep in blamed:
                 ep.out_until, ep.strikes = now, max(0, ep.strikes - 1)
         elif ending in ("error", "timeout", "no-connection") or (ending == "full" and setup.ep.active):
-            self._struck(setup.ep, now)
+            self._struck(setup.ep, ending, now)
+        elif ending == "reset":  # its process may be gone
+            setup.ep.probe_due = min(setup.ep.probe_due, now)
         if tun.state is State.ENDED:
             return
         if closed:
@@ -693,16 +712,35 @@
     def silent(self, tun: Tunnel, span: float, now: float) -> None:
         """Guards against a machine that vanishes: its connections stay open and bring nothing back."""
         if tun.state is State.OPEN and span >= SILENT * self.goal:
-            self._struck(tun.setups[-1].ep, now)
+            self._struck(tun.setups[-1].ep, "timeout", now)
             tun.to(State.ENDED)
             self.host.move(tun)
 
     # Health.
 
-    def _struck(self, ep: Server, now: float) -> None:
+    def _struck(self, ep: Server, ending: Ending, now: float) -> None:
+        ep.trial_due = now + LATE * self.goal * self.uniform(0.5, 1.5)
         if ep.out_until <= now:
             ep.strikes = min(ep.strikes + 1, 4)
             ep.out_until = now + self.goal * 4 * 2**ep.strikes * self.uniform(0.8, 1.2)
+        if ending == "no-connection":
+            self._fell(ep, now)
+
+    def _fell(self, ep: Server, at: float) -> None:
+        if not ep.down:
+            ep.down = True
+            up = at - ep.back_at
+            ep.spell = max(ep.spell, up) if up < LONG else 0.0
+
+    @staticmethod
+    def _back(ep: Server, at: float) -> None:
+        """Guards against a server that fails and is back by turns: it would take tunnels each time, and break
+        them. Once it has fallen again within LONG it is held back for longer than it ever stayed up.
+        Against whatever has it fail by turns; one that restarts once is not held. It hurts one that has just
+        been mended after several falls, for as long as those lay apart."""
+        if ep.down:
+            ep.down, ep.back_at = False, at
+            ep.hold_until = at + HOLD * ep.spell
 
     # Reports.
 
@@ -714,16 +752,22 @@
             self._heard(ep, report, now)
             self._shed(ep, now)
         elif ending in ("error", "timeout", "no-connection", "reset"):
-            self._struck(ep, now)
+            self._struck(ep, ending, now)
         self._told(ep, now)
 
     def _heard(self, ep: Server, report: Report, now: float) -> None:
         ep.heard_at = ep.asked_at = now
+        figure = next((report[word] for word in ("connections", "load", "backlog") if word in report), None)
+        if ep.down:
+            before = self.mean_busy if ep.busy is None else ep.busy
+            if figure is not None and figure < RESTARTED * before and ep.warm_at <= now:
+                # Rule 4, where the list is late or silent: it had no process, and holds little of what it held.
+                # It hurts one that was only out of reach and emptied meanwhile: that one is filled slowly.
+                self._start(ep, now, now)
+                ep.heard_at = ep.asked_at = now
+            self._back(ep, now)
         ep.full_load = report.get("load", 0.0)
-        for word in ("connections", "load", "backlog"):
-            if word in report:
-                ep.busy = report[word]
-                break
+        ep.busy = ep.busy if figure is None else figure
         # Guards against reports that are late: what was placed just before is not in them yet.
         cut = now - LATE * self.goal
         ep.recent = [at for at in ep.recent if at > cut]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -125,7 +125,7 @@
     bal, _, servers = balancer([0.1] * 4)
     bal.part = servers[:2]
     for ep in servers[:2]:
-        bal._struck(ep, 100.0)
+        bal._struck(ep, "error", 100.0)
     assert bal._candidates(tunnel(bal), 100.1) == [ep for ep in bal.live if ep in servers[2:]]
 
 
@@ -400,7 +400,7 @@
     bal.listed([Listed(name, state, 0, 0, 0, 0.0, 1.0)], whole, False, 101.0)  # type: ignore[arg-type]
     assert (ep in bal.live) is stays and ep.doubted is stays
     assert bal._candidates(tunnel(bal), 101.0) == [other]
-    bal._struck(other, 101.0)
+    bal._struck(other, "error", 101.0)
     other.trying = 1
     assert bal._candidates(tunnel(bal), 101.0) == [ep] * stays
     bal.probed(ep, "ok", {"load": 0.1}, 102.0)
@@ -512,7 +512,7 @@
 def test_servers_that_all_look_bad_are_still_drawn() -> None:
     bal, _, servers = balancer([0.5] * 4)
     for ep in servers:
-        bal._struck(ep, 100.0)
+        bal._struck(ep, "error", 100.0)
     bal._send(tunnel(bal), servers[0], 100.0)
     assert bal._candidates(tunnel(bal), 100.1) == servers[1:]
 
