--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -53,11 +53,15 @@
 LEVEL = 1.1 * FULL  # the highest load that open tunnels are moved off down to
 OVER = 0.2  # load over that level from which they are moved
 SEVERAL = 3  # own tunnels at a server over which probes of it are paid for by those that stand
+AWAY = 0.06  # load that a server must have less for each place that it lies away from a group's home
+SCARCE = 8  # setup goals for which a tunnel turned away tells that room is scarce
 HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 HOLD = 1.5  # times the longest that a server which fails by turns stayed up: how long it must be back
 RESTARTED = 0.5  # of the figure it had: under this a server that had no process is taken to be a new one
 SETTLE = 4  # setup goals for a move off to show in the reports
+SLOW = 0.5  # of the setup goal: a message that takes longer shows a server that piles work up
+OVERDRIVEN = 1.2  # load that such a server is taken to have at least, until the next report
 SILENT = 8  # setup goals without an answer after which an open tunnel's server is taken to be gone
 
 
@@ -100,14 +104,15 @@
     """One client connection, from its arrival to its end."""
 
     __slots__ = (
-        "back", "deadline", "drawn", "group", "key", "load", "name", "profile", "setups", "state", "tenant",
+        "back", "deadline", "drawn", "group", "key", "load", "mark", "name", "profile", "setups", "state",
+        "tenant",
     )  # fmt: skip
 
     def __init__(
         self, name: str, profile: Profile, tenant: int, key: str, group: str, deadline: float, back: bool
     ) -> None:
         self.name, self.profile, self.tenant, self.key, self.group = name, profile, tenant, key, group
-        self.deadline, self.back = deadline, back
+        self.deadline, self.back, self.mark = deadline, back, _mark(group)
         self.state = State.HELD
         self.setups: list[Setup] = []
         self.drawn: list[Server] = []  # its two candidates, while one of them is asked
@@ -220,6 +225,7 @@
         self.round_at = self.round_due = now
         self.look_due = inf  # when the first report shows what own tunnels add
         self.tick_due = inf
+        self.scarce_until = now  # a tunnel was declined lately, for want of room
         self.may_probe, self.probe_price = site.may_probe, site.probe_price
         self.held: dict[Tunnel, None] = {}  # held or asking
         # Those of `live` that this balancer uses, where it can't use all; its start among every n-th.
@@ -392,6 +398,8 @@
         pool = self.part or self.live
         able = pool if self._free(tun) else [ep for ep in pool if self._may_go(tun, ep, now)]
         ready = self._ready(able, now)
+        if tun.group and now < self.scarce_until and self._gathers():
+            ready = self._at_home(tun, ready)
         if ready and tun.setups:
             tried = [s.ep for s in tun.setups]
             ready = [ep for ep in ready if ep not in tried] or ready
@@ -467,15 +475,26 @@
         Guards against groups that are scattered over a large fleet, above all after a mass arrival."""
         return self.balancers > len(self.live) or (self.mean_load or 0.0) * ABOVE > FULL_LEAST
 
+    def _at_home(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
+        """Of the ready servers those that hold the group, and others the nearer to its home the fuller they are.
+        Guards against a fleet that is filled again after a mass break while it has too little room: any server
+        that has just a little would take a tunnel of any group, and pay for as many groups as it has tunnels."""
+        far = AWAY * len(self.live) / WORD
+        return [
+            ep
+            for ep in ready
+            if tun.group in ep.groups or ep.reckoned + max(0.0, far * self._far(tun, ep) - AWAY * HOME) < self.full
+        ]
+
     @staticmethod
     def _home(tun: Tunnel, ready: list[Server]) -> list[Server]:
         """The first ready servers in an order of the group's own, the same at all balancers: a group comes
         together though none of them sees the others' tunnels, and goes on to the next ones as these fill."""
-        return nsmallest(HOME, ready, key=lambda ep: Balancer._far(tun.group, ep))
+        return nsmallest(HOME, ready, key=lambda ep: Balancer._far(tun, ep))
 
     @staticmethod
-    def _far(group: str, ep: Server) -> int:
-        return (_mark(group) ^ ep.mark) * MIX & WORD
+    def _far(tun: Tunnel, ep: Server) -> int:
+        return (tun.mark ^ ep.mark) * MIX & WORD
 
     def _offer(self, tun: Tunnel, now: float) -> None:
         """SRLB: the first candidate takes the tunnel if it is busy under c, else the second must.
@@ -616,6 +635,7 @@
     def _answer(self, tun: Tunnel, now: float) -> None:
         self.held.pop(tun, None)
         tun.to(State.ENDED)
+        self.scarce_until = now + SCARCE * self.goal
         if self.may_decline(tun) and now < tun.deadline + self.margin:
             self.host.decline(tun, min(self.come_back, 2 * tun.profile.setup_goal))
         else:
@@ -705,9 +725,13 @@
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
         """Messages at its server take long: its load is asked for, as it may have changed.
         Guards against a noisy neighbour, which slows a server while its last report still looks well."""
-        if tun.state is State.OPEN and delay > self.goal:
+        if tun.state is State.OPEN and delay > SLOW * self.goal:
             ep = tun.setups[-1].ep
             ep.probe_due = min(ep.probe_due, max(now, ep.heard_at + self.goal))
+            self._struck(ep, "timeout", now)
+            ep.full_load = max(ep.full_load, OVERDRIVEN)
+            self._reckon(ep)
+            self._shed(ep, now)
 
     def silent(self, tun: Tunnel, span: float, now: float) -> None:
         """Guards against a machine that vanishes: its connections stay open and bring nothing back."""
@@ -799,7 +823,7 @@
         weight = {u: sum(t.load or usual for t in units[u]) + cost * isinstance(u, str) for u in units}
         excess = (1.0 - self.level / ep.full_load) * sum(weight.values())
         # Else the heaviest first, then the newest: the fewest clients are sent round.
-        for unit in sorted(units, key=lambda u: -self._far(u, ep) if isinstance(u, str) else -u.load):
+        for unit in sorted(units, key=lambda u: -self._far(units[u][0], ep) if isinstance(u, str) else -u.load):
             if excess < weight[unit] * self.chance():
                 break
             excess -= weight[unit]
