Slow messages: a worse report within the settling time moves the rest, quick ones lift the suspension

Cause: at the start of shared_slow reports of 2.0 came within a second of the first move-off, which had taken the load to be 1.2; after its end servers at 0.2 stayed suspended for up to 16 s (1,000 declines a second at loads of 0.2 to 0.5).

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -60,6 +60,7 @@
 HOLD = 1.5  # times the longest that a server which fails by turns stayed up: how long it must be back
 RESTARTED = 0.5  # of the figure it had: under this a server that had no process is taken to be a new one
 SETTLE = 4  # setup goals for a move off to show in the reports
+QUICK = 0.1  # of the setup goal: a message as quick as this shows that such a server has caught up
 SLOW = 0.5  # of the setup goal: a message that takes longer shows a server that piles work up
 OVERDRIVEN = 1.2  # load that such a server is taken to have at least, until the next report
 SILENT = 8  # setup goals without an answer after which an open tunnel's server is taken to be gone
@@ -144,7 +145,7 @@
     __slots__ = (
         "active", "adds", "adds_at", "asked_at", "back_at", "budget", "budget_at", "busy", "cell", "doubted",
         "down", "full_load", "groups", "heard_at", "hold_until", "listed", "look_at", "mark", "name", "others",
-        "out_until", "probe_due", "probing", "recent", "reckoned", "shed_at", "size", "spell", "started",
+        "out_until", "probe_due", "probing", "recent", "reckoned", "shed", "shed_at", "size", "slow", "spell", "started",
         "strikes", "took", "trial_due", "trying", "tunnels", "waiting", "warm_at", "zone",
     )  # fmt: skip
 
@@ -175,7 +176,8 @@
         self.look_at = inf  # when a report shows enough of these
         self.adds, self.adds_at = inf, -inf  # load that one of them adds at most, by a report; when
         self.others = 0.0  # load that other balancers may add before the next report, by chance
-        self.shed_at = 0.0  # when tunnels were last moved off
+        self.shed_at, self.shed = 0.0, 0.0  # when tunnels were last moved off, and which part of them
+        self.slow = False  # suspended as its messages take long
         self.reckoned = -inf  # load that tells whether it has room
         self.warm_at = 0.0  # when a process that started lately has its full capacity at the latest
         self.strikes = 0
@@ -725,8 +727,14 @@
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
         """Messages at its server take long: its load is asked for, as it may have changed.
         Guards against a noisy neighbour, which slows a server while its last report still looks well."""
-        if tun.state is State.OPEN and delay > SLOW * self.goal:
-            ep = tun.setups[-1].ep
+        if tun.state is not State.OPEN:
+            return
+        ep = tun.setups[-1].ep
+        if delay <= QUICK * self.goal:
+            if ep.slow:
+                ep.slow, ep.out_until = False, now
+        elif delay > SLOW * self.goal:
+            ep.slow = True
             ep.probe_due = min(ep.probe_due, max(now, ep.heard_at + self.goal))
             self._struck(ep, "timeout", now)
             ep.full_load = max(ep.full_load, OVERDRIVEN)
@@ -809,8 +817,15 @@
         That follows the median load of a crowded fleet. Guards against clients that are sent round and round.
         Where the median is under its top, one asked for more than it can do gives up whole groups, the least
         at home first at all balancers. Guards against what groups cost, which light tunnels keep."""
-        if ep.full_load < self.level + OVER or not ep.tunnels or now - ep.shed_at < SETTLE * self.goal:
+        if now - ep.shed_at >= SETTLE * self.goal:
+            ep.shed = 0.0
+        if ep.full_load < self.level + OVER or not ep.tunnels:
+            return
+        # What was moved off so lately is not in the report yet.
+        part = 1.0 - self.level / ep.full_load / (1.0 - ep.shed)
+        if part < OVER * bool(ep.shed):
             return
+        ep.shed = 1.0 - (1.0 - ep.shed) * (1.0 - part)
         ep.shed_at = now
         if len(ep.tunnels) > SEVERAL:  # whether it was enough
             ep.probe_due = min(ep.probe_due, now + SETTLE * self.goal)
@@ -821,7 +836,7 @@
         for tun in reversed(ep.tunnels):
             units.setdefault((whole and tun.group) or tun, []).append(tun)
         weight = {u: sum(t.load or usual for t in units[u]) + cost * isinstance(u, str) for u in units}
-        excess = (1.0 - self.level / ep.full_load) * sum(weight.values())
+        excess = part * sum(weight.values())
         # Else the heaviest first, then the newest: the fewest clients are sent round.
         for unit in sorted(units, key=lambda u: -self._far(units[u][0], ep) if isinstance(u, str) else -u.load):
             if excess < weight[unit] * self.chance():
