--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -739,7 +739,7 @@
             self._struck(ep, "timeout", now)
             ep.full_load = max(ep.full_load, OVERDRIVEN)
             self._reckon(ep)
-            self._shed(ep, now)
+            self._shed(ep, now, LATE)
 
     def silent(self, tun: Tunnel, span: float, now: float) -> None:
         """Guards against a machine that vanishes: its connections stay open and bring nothing back."""
@@ -810,14 +810,14 @@
         if not self.c_started:
             self._start_c()
 
-    def _shed(self, ep: Server, now: float) -> None:
+    def _shed(self, ep: Server, now: float, settle: float = SETTLE) -> None:
         """Moves this balancer's share of what a server holds too much.
         Guards against a server asked for more than it can do: it would answer no messages in time and drop
         tunnels anyway. All hear the same load, so the same part of each one's tunnels takes it to the level.
         That follows the median load of a crowded fleet. Guards against clients that are sent round and round.
         Where the median is under its top, one asked for more than it can do gives up whole groups, the least
         at home first at all balancers. Guards against what groups cost, which light tunnels keep."""
-        if now - ep.shed_at >= SETTLE * self.goal:
+        if now - ep.shed_at >= settle * self.goal:
             ep.shed = 0.0
         if ep.full_load < self.level + OVER or not ep.tunnels:
             return
