No further part is moved off while messages grow quicker; groups have homes of two servers

Causes: an overdriven server works its backlog off for a second or two after enough was moved (loads of 0.4 to 0.6 while messages still took over 250 ms); after a break each group lay at four servers with ten tunnels, a third of the load being groups.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -55,7 +55,7 @@
 SEVERAL = 3  # own tunnels at a server over which probes of it are paid for by those that stand
 AWAY = 0.06  # load that a server must have less for each place that it lies away from a group's home
 SCARCE = 8  # setup goals for which a tunnel turned away tells that room is scarce
-HOME = 3  # ready servers at the head of a group's own order, of which candidates are drawn
+HOME = 2  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 HOLD = 1.5  # times the longest that a server which fails by turns stayed up: how long it must be back
 RESTARTED = 0.5  # of the figure it had: under this a server that had no process is taken to be a new one
@@ -63,6 +63,7 @@
 QUICK = 0.1  # of the setup goal: a message as quick as this shows that such a server has caught up
 SLOW = 0.5  # of the setup goal: a message that takes longer shows a server that piles work up
 OVERDRIVEN = 1.2  # load that such a server is taken to have at least, until the next report
+CATCHING_UP = 0.85  # of the delay told before: under this the server works off what is piled up
 SILENT = 8  # setup goals without an answer after which an open tunnel's server is taken to be gone
 
 
@@ -143,7 +144,7 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "adds", "adds_at", "asked_at", "back_at", "budget", "budget_at", "busy", "cell", "doubted",
+        "active", "adds", "adds_at", "asked_at", "back_at", "budget", "budget_at", "busy", "cell", "delay", "doubted",
         "down", "full_load", "groups", "heard_at", "hold_until", "listed", "look_at", "mark", "name", "others",
         "out_until", "probe_due", "probing", "recent", "reckoned", "shed", "shed_at", "size", "slow", "spell", "started",
         "strikes", "took", "trial_due", "trying", "tunnels", "waiting", "warm_at", "zone",
@@ -177,6 +178,7 @@
         self.adds, self.adds_at = inf, -inf  # load that one of them adds at most, by a report; when
         self.others = 0.0  # load that other balancers may add before the next report, by chance
         self.shed_at, self.shed = 0.0, 0.0  # when tunnels were last moved off, and which part of them
+        self.delay = 0.0  # of the latest message that was told to take long
         self.slow = False  # suspended as its messages take long
         self.reckoned = -inf  # load that tells whether it has room
         self.warm_at = 0.0  # when a process that started lately has its full capacity at the latest
@@ -737,9 +739,11 @@
             ep.slow = True
             ep.probe_due = min(ep.probe_due, max(now, ep.heard_at + self.goal))
             self._struck(ep, "timeout", now)
-            ep.full_load = max(ep.full_load, OVERDRIVEN)
-            self._reckon(ep)
-            self._shed(ep, now, LATE)
+            if delay > CATCHING_UP * ep.delay:
+                ep.full_load = max(ep.full_load, OVERDRIVEN)
+                self._reckon(ep)
+                self._shed(ep, now, LATE)
+        ep.delay = delay
 
     def silent(self, tun: Tunnel, span: float, now: float) -> None:
         """Guards against a machine that vanishes: its connections stay open and bring nothing back."""
