--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -144,10 +144,11 @@
     """All that is known of one server."""
 
     __slots__ = (
-        "active", "adds", "adds_at", "asked_at", "back_at", "budget", "budget_at", "busy", "cell", "delay", "doubted",
-        "down", "full_load", "groups", "heard_at", "hold_until", "listed", "look_at", "mark", "name", "others",
-        "out_until", "probe_due", "probing", "recent", "reckoned", "shed", "shed_at", "size", "slow", "spell", "started",
-        "strikes", "took", "trial_due", "trying", "tunnels", "waiting", "warm_at", "zone",
+        "active", "adds", "adds_at", "asked_at", "back_at", "budget", "budget_at", "busy", "cell", "delay",
+        "doubted", "down", "full_load", "groups", "heard_at", "hold_until", "listed", "look_at", "mark",
+        "name", "others", "out_until", "probe_due", "probing", "recent", "reckoned", "shed", "shed_at",
+        "size", "slow", "spell", "started", "strikes", "took", "trial_due", "trying", "tunnels", "waiting",
+        "warm_at", "zone",
     )  # fmt: skip
 
     def __init__(self, name: str) -> None:
@@ -329,7 +330,8 @@
         return [
             ep
             for ep in self._with_room(eps, now)
-            if ep.out_until <= now and ep.hold_until <= now
+            if ep.out_until <= now
+            and ep.hold_until <= now
             and (ep.warm_at <= now or self._within_budget(ep, now))
         ]
 
@@ -480,14 +482,16 @@
         return self.balancers > len(self.live) or (self.mean_load or 0.0) * ABOVE > FULL_LEAST
 
     def _at_home(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
-        """Of the ready servers those that hold the group, and others the nearer to its home the fuller they are.
-        Guards against a fleet that is filled again after a mass break while it has too little room: any server
-        that has just a little would take a tunnel of any group, and pay for as many groups as it has tunnels."""
-        far = AWAY * len(self.live) / WORD
+        """Where room is scarce, of the ready servers those that hold the group, and others the nearer to its
+        home the fuller they are.
+        Guards against a fleet that fills again after a mass break, whatever broke it: a server with a little
+        room would take a tunnel of any group, and pay for nearly as many groups as it holds tunnels. It hurts
+        a group so large that its tunnels wait while servers far from its home have a little room."""
+        far, near = AWAY * len(self.live) / WORD, self.full + AWAY * HOME
         return [
             ep
             for ep in ready
-            if tun.group in ep.groups or ep.reckoned + max(0.0, far * self._far(tun, ep) - AWAY * HOME) < self.full
+            if tun.group in ep.groups or ep.reckoned + max(AWAY * HOME, far * self._far(tun, ep)) < near
         ]
 
     @staticmethod
@@ -727,8 +731,12 @@
         return sum(known) / len(known) if known else 1.0
 
     def delay_noted(self, tun: Tunnel, delay: float, now: float) -> None:
-        """Messages at its server take long: its load is asked for, as it may have changed.
-        Guards against a noisy neighbour, which slows a server while its last report still looks well."""
+        """Messages at its server take long: its load is asked for, it is suspended, and a part of its tunnels
+        is moved off as from one that is asked for too much, again after LATE unless messages grow quicker.
+        Guards against whatever is slow for this balancer while reports look well: an untrue or old report, a
+        noisy neighbour, an ageing machine, a way between locations, a slow-down of all. Own messages are
+        evidence that a report is not; a true one is used as before. It hurts where a single tunnel's messages
+        are slow by themselves, for as long as the suspension lasts: quick messages lift it."""
         if tun.state is not State.OPEN:
             return
         ep = tun.setups[-1].ep
@@ -797,8 +805,9 @@
         if ep.down:
             before = self.mean_busy if ep.busy is None else ep.busy
             if figure is not None and figure < RESTARTED * before and ep.warm_at <= now:
-                # Rule 4, where the list is late or silent: it had no process, and holds little of what it held.
-                # It hurts one that was only out of reach and emptied meanwhile: that one is filled slowly.
+                # Rule 4, where the list is late or silent: it was out of reach and holds little of what it
+                # held, so it is taken as started now. One that tells its usual load was out of reach alone.
+                # It hurts one that emptied meanwhile: that one is filled slowly.
                 self._start(ep, now, now)
                 ep.heard_at = ep.asked_at = now
             self._back(ep, now)
@@ -842,7 +851,8 @@
         weight = {u: sum(t.load or usual for t in units[u]) + cost * isinstance(u, str) for u in units}
         excess = part * sum(weight.values())
         # Else the heaviest first, then the newest: the fewest clients are sent round.
-        for unit in sorted(units, key=lambda u: -self._far(units[u][0], ep) if isinstance(u, str) else -u.load):
+        far = {unit: self._far(units[unit][0], ep) if isinstance(unit, str) else unit.load for unit in units}
+        for unit in sorted(units, key=lambda u: -far[u]):
             if excess < weight[unit] * self.chance():
                 break
             excess -= weight[unit]
--- a/pointgw/rig/baseline.py
+++ b/pointgw/rig/baseline.py
@@ -9,7 +9,7 @@
 import sys
 
 from pointgw.net.run.daemon import daemon
-from pointgw.policy import Balancer, Server, Tunnel
+from pointgw.policy import SETTLE, Balancer, Server, Tunnel
 
 POLICIES = ("srlb", "random", "round-robin")
 
@@ -29,7 +29,7 @@
     def _probe(self, now: float) -> None:
         pass
 
-    def _shed(self, ep: Server, now: float) -> None:
+    def _shed(self, ep: Server, now: float, settle: float = SETTLE) -> None:
         pass
 
 
