--- a/pointgw/net/run/probe.py
+++ b/pointgw/net/run/probe.py
@@ -67,6 +67,8 @@
             line = lines.ERR
         if line is not None and self.asked is not None:
             answer = lines.probe_line(line)
+            if answer.spoilt:
+                self.node.refused("bad report", line[:80])
             self._end(answer.ending, answer.report)
 
     def _end(self, ending: Ending, report: Report) -> None:
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -149,6 +149,8 @@
         if self.over:
             return
         closing = self.closing or lines.Closing(ending, {})
+        if closing.spoilt:
+            self.node.refused("bad report", closing.ending)
         self._stop()
         if self.transport is not None:
             self.transport.abort()
--- a/pointgw/net/wire/lines.py
+++ b/pointgw/net/wire/lines.py
@@ -50,6 +50,7 @@
 
     ending: Ending
     report: Report
+    spoilt: bool = False  # it had a report that can't be used
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,13 +147,13 @@
             return None
         return Load(load) if 0 <= load < math.inf else None
     ending = ENDINGS.get(word)
-    return None if ending is None else Closing(ending, _report(rest))
+    return None if ending is None else _closing(ending, rest)
 
 
 def probe_line(line: bytes) -> Closing:
     """The answer to a probe."""
     word, _, rest = line.partition(b" ")
-    return Closing("ok" if word == PONG else "error", _report(rest))
+    return _closing("ok" if word == PONG else "error", rest)
 
 
 def answer_line(answer: Answer) -> bytes:
@@ -161,10 +162,10 @@
     return b"BUSY %d" % round(answer.come_back * 1e3) + END if answer.come_back else b"BUSY" + END
 
 
-def _report(rest: bytes) -> Report:
-    """A report that can't be read is none: its line still says how the setup ended."""
+def _closing(ending: Ending, rest: bytes) -> Closing:
+    """A report that can't be read, or has a figure under nought, is none: its line still says how it ended."""
     try:
         told = report(rest.decode("ascii").strip(), "=")
     except (Malformed, UnicodeDecodeError):
-        return {}
-    return told if all(figure >= 0 for figure in told.values()) else {}
+        return Closing(ending, {}, True)
+    return Closing(ending, told) if all(figure >= 0 for figure in told.values()) else Closing(ending, {}, True)
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -304,6 +304,21 @@
     with_node(echo, scene, way)
 
 
+@pytest.mark.parametrize(("report", "bad"), [(b"x0=0.2", 0), (b"x0=-1", 1), (b"x0=nan", 1), (b"x0", 1)])
+def test_a_report_out_of_range_is_refused_and_counted(report: bytes, bad: int) -> None:
+    async def play(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"BYE " + report + b"\r\n")
+
+    async def scene(node: Node, stand_in: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
+        reader, writer = await client()
+        writer.write(OPEN)
+        await reader.readline()
+        assert node.turned_away["bad report"] >= bad and (bad or not node.turned_away)
+        writer.close()
+
+    with_node(play, scene)
+
+
 def test_a_reload_turns_to_another_discovery_and_ends_no_tunnel(tmp_path: Any, way: Script | None) -> None:
     async def scene(node: Node, there: StandIn, client: Callable[[], Awaitable[Streams]]) -> None:
         reader, writer = await opened(client)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -64,13 +64,13 @@
         (b"UP r-1", lines.Up(b"UP r-1\r\n")),
         (b"BUSY", lines.Closing("full", {})),
         (b"ERR inflight=7,util=0.61", lines.Closing("error", {"connections": 7.0, "util": 0.61})),
-        (b"BYE x0=nonsense", lines.Closing("ok", {})),
+        (b"BYE x0=nonsense", lines.Closing("ok", {}, True)),
         (b"MOVE", lines.Closing("cancelled", {})),
         (b"LOAD 51078.5", lines.Load(51078.5)),
         (b"LOAD x", None),
         (b"LOAD nan", None),
         (b"LOAD -5", None),
-        (b"BYE x0=-1", lines.Closing("ok", {})),
+        (b"BYE x0=-1", lines.Closing("ok", {}, True)),
         (b"BYELAW", None),
     ],
 )
@@ -83,6 +83,8 @@
     [
         (b"PONG busy=0.5,x0=0.4", lines.Closing("ok", {"util": 0.5, "load": 0.4})),
         (b"ERR", lines.Closing("error", {})),
+        (b"PONG x0=inf", lines.Closing("ok", {}, True)),
+        (b"PONG x0=-0.5", lines.Closing("ok", {}, True)),
         (b"NO", lines.Closing("error", {})),
     ],
 )
