--- a/pointgw/net/wire/lines.py
+++ b/pointgw/net/wire/lines.py
@@ -163,9 +163,10 @@
 
 
 def _closing(ending: Ending, rest: bytes) -> Closing:
-    """A report that can't be read, or has a figure under nought, is none: its line still says how it ended."""
+    """A report that can't be read, or has a figure under nought, is none: its line still says how it went."""
     try:
         told = report(rest.decode("ascii").strip(), "=")
     except (Malformed, UnicodeDecodeError):
         return Closing(ending, {}, True)
-    return Closing(ending, told) if all(figure >= 0 for figure in told.values()) else Closing(ending, {}, True)
+    sound = all(figure >= 0 for figure in told.values())
+    return Closing(ending, told if sound else {}, not sound)
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -55,6 +55,7 @@
 SEVERAL = 3  # own tunnels at a server over which probes of it are paid for by those that stand
 AWAY = 0.06  # load that a server must have less for each place that it lies away from a group's home
 SCARCE = 8  # setup goals for which a tunnel turned away tells that room is scarce
+LOST = 2  # setups in a row that were not opened, after which one is out at a time
 HOME = 2  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 HOLD = 1.5  # times the longest that a server which fails by turns stayed up: how long it must be back
@@ -238,6 +239,9 @@
         self.start = self.chance()
         self.live: list[Server] = []  # those of `servers` that are active, by mark
         self.purse = 0.0  # what probes may still cost, in credit
+        self.lost_at = now  # when the last setup ended
+        self.lost = 0  # setups that ended unopened since one was opened
+        self.out = 0  # setups that are out
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self._wake(now, self.pace)
 
@@ -401,6 +405,11 @@
 
     def _candidates(self, tun: Tunnel, now: float) -> list[Server]:
         """The ready servers that this tunnel may go to."""
+        # Guards against trying more where nothing opens, whatever the cause: what all servers depend on is
+        # slow, or this balancer is cut off. It hurts tunnels that wait at the end of such a time.
+        pause = self.goal * 2 ** min(self.lost - LOST, 2)
+        if self.lost >= LOST and (self.out or now < self.lost_at + pause):
+            return []
         pool = self.part or self.live
         able = pool if self._free(tun) else [ep for ep in pool if self._may_go(tun, ep, now)]
         ready = self._ready(able, now)
@@ -635,6 +644,7 @@
         tun.to(State.SETTING_UP)
         ep.recent.append(now)
         ep.trying += 1
+        self.out += 1
         self._reckon(ep)
         if ep.warm_at > now:
             ep.budget -= 1.0
@@ -661,6 +671,8 @@
                 setup.ep.look_at = setup.sent_at + LATE * self.goal
                 self.look_due = min(self.look_due, setup.ep.look_at)
             setup.ep.trying -= 1
+            self.out -= 1
+            self.lost = 0
             setup.ep.strikes -= setup.ep.out_until <= now and setup.ep.strikes > 0
             self.retries = min(self.retries + RETRY_SHARE, self.retry_top)
 
@@ -672,6 +684,9 @@
         setup.may_have_run = ending not in NEVER_RAN
         was_open = setup.began
         setup.ep.trying -= not was_open
+        self.out -= not was_open
+        if not was_open and ending in ("timeout", "full", "error", "no-connection"):
+            self.lost, self.lost_at = self.lost + 1, now
         if report:
             self._heard(setup.ep, report, now)
         setup.erred = ending == "error" and not was_open
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -590,6 +590,22 @@
         assert later < 0 or (ep in bal._candidates(tunnel(bal), starts[-1] + later)) is ready
 
 
+@pytest.mark.parametrize(("failed", "at", "sends"), [(1, 100.1, True), (2, 100.1, False), (2, 100.6, True)])
+def test_where_nothing_opens_one_setup_is_out_at_a_time(failed: int, at: float, sends: bool) -> None:
+    # All servers slow, or this balancer cut off: each server would cost it a setup, and the next tunnel too.
+    bal, notes, servers = balancer([0.1] * 8)
+    for ep in servers[:failed]:
+        tun = tunnel(bal)
+        bal._send(tun, ep, 100.0)
+        bal.retries = 0.0
+        bal.ended(tun, 0, "timeout", False, {}, 100.0)
+    assert bool(bal._candidates(tunnel(bal), at)) is sends
+    bal._send(tunnel(bal), servers[7], at)
+    assert bool(bal._candidates(tunnel(bal), at)) is (failed < 2)
+    bal.opened(notes.asked[-1][1], 0, at)
+    assert bal._candidates(tunnel(bal), at)
+
+
 def test_a_broken_tunnel_has_its_server_asked_at_once() -> None:
     bal, _, (ep, _) = balancer([0.1, 0.1])
     tun = tunnel(bal)
