--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -239,8 +239,8 @@
         self.start = self.chance()
         self.live: list[Server] = []  # those of `servers` that are active, by mark
         self.purse = 0.0  # what probes may still cost, in credit
-        self.lost_at = now  # when the last setup ended
         self.lost = 0  # setups that ended unopened since one was opened
+        self.lost_at = now  # when the last of them did
         self.out = 0  # setups that are out
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self._wake(now, self.pace)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -524,15 +524,14 @@
 
 def test_quick_messages_lift_the_suspension_for_slow_ones_alone() -> None:
     bal, _, (slow, erred) = balancer([0.1, 0.1])
-    for ep in (slow, erred):
-        bal.inherited(tunnel(bal), ep, 99.0)
+    for ep in [slow, erred] * 20:
         bal.inherited(tunnel(bal), ep, 99.0)
     bal._struck(erred, "error", 100.0)
     bal.delay_noted(next(iter(slow.tunnels)), 0.3, 100.0)
+    assert slow.out_until > 101.0
     for ep in (slow, erred):
-        for tun in list(ep.tunnels)[:1]:
-            bal.delay_noted(tun, 0.04, 101.0)
-    assert erred.out_until > 101.0 and (slow.out_until <= 101.0 or not slow.tunnels)
+        bal.delay_noted(next(iter(ep.tunnels)), 0.04, 101.0)
+    assert erred.out_until > 101.0 >= slow.out_until
 
 
 def test_a_worse_report_right_after_a_move_off_moves_the_rest_of_the_excess() -> None:
@@ -574,9 +573,7 @@
     bal, _, (ep, _) = balancer([0.5, 0.5])
     bal.probed(ep, "no-connection", {}, 100.0)
     bal.probed(ep, "ok", {"load": load}, 103.0)
-    assert (ep.warm_at > 103.0) is cold
-    ep.out_until = 0.0
-    assert ep.warm_at == pytest.approx(103.0 + bal.cold_time) or ep in bal._candidates(tunnel(bal), 103.0)
+    assert ep.warm_at == pytest.approx(103.0 + bal.cold_time if cold else 0.0)
 
 
 @pytest.mark.parametrize(("starts", "held"), [((101.0,), 0.0), ((101.0, 109.0), 12.0), ((101.0, 141.0), 0.0)])
