--- a/pointgw/net/run/tiering.py
+++ b/pointgw/net/run/tiering.py
@@ -50,6 +50,7 @@
     reducer: Reducer | None = None
     away: dict[str, tuple[float, Profile]] = field(default_factory=dict)  # by the client's key, oldest first
     shown_at: float = 0.0
+    writing: asyncio.Future[None] | None = None
     said: tuple[object, ...] = ()
     refused: bool = False  # the log says so of an evacuation
 
@@ -140,7 +141,7 @@
                 need, room = tier.refused
                 figures = {"need": round(need, 2), "rest_bears": round(room, 2)}
                 _log.warning("evacuation refused", extra={"fields": figures})
-        if self.status and now >= self.shown_at + STATUS_EVERY:
+        if self.status and self.writing is None and now >= self.shown_at + STATUS_EVERY:
             self.shown_at = now
             self._write(now)
 
@@ -172,17 +173,27 @@
             "me": self.told.me, "members": members, "zones": zones, "shares": shares,
             "figures": dict(tier.figures),
         }  # fmt: skip
-        folder = Path(self.status).parent
-        try:
-            handle, path = tempfile.mkstemp(dir=folder, prefix=".tier-")
-            with os.fdopen(handle, "wb") as file:
-                file.write(msgspec.json.encode(told))
-            os.replace(path, self.status)
-        except OSError as fault:
+        data = msgspec.json.encode(told)
+        self.writing = self.voice.loop.run_in_executor(None, replace_whole, self.status, data)
+        self.writing.add_done_callback(self._written)
+
+    def _written(self, writing: asyncio.Future[None]) -> None:
+        self.writing = None
+        fault = None if writing.cancelled() else writing.exception()
+        if fault is not None:
             _log.error("status not written", extra={"fields": {"why": str(fault)}})
             self.status = ""  # said once
 
 
+def replace_whole(file: str, data: bytes) -> None:
+    """Raises OSError. Guards against a slow disk, where a rename waits for what was written: off the loop's
+    thread, or no tunnel would be answered meanwhile."""
+    handle, path = tempfile.mkstemp(dir=Path(file).parent, prefix=".tier-")
+    with os.fdopen(handle, "wb") as out:
+        out.write(data)
+    os.replace(path, file)
+
+
 def seen(reducer: Reducer, zones: int, away: list[Profile]) -> tuple[Seen, ...]:
     """What this balancer sees of each zone, in mean, warm servers."""
     balancer, now = reducer.balancer, reducer.now
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -345,9 +345,8 @@
 
     @staticmethod
     def _believe(ep: Server, now: float, cut: float) -> None:
-        """What one tunnel adds to this server at most: its report has all in it that it opened before `cut`.
-        Guards large, idle servers from being held to be full by what a tunnel adds elsewhere. Only room looks
-        at it, not rule 4: tunnels that ended soon make it look light."""
+        """What one tunnel adds here at most: its report has all in it that it opened before `cut`. Guards
+        large, idle servers from being held full. Only room looks at it, not rule 4, as many end."""
         seen = sum(at <= cut for at in ep.took)
         if seen >= SEEN:
             ep.adds, ep.adds_at = max(UNEVEN * ep.full_load / seen, LIGHTEST), now
@@ -904,8 +903,9 @@
         if heard:
             self.mean_load = total / len(heard)
             self.mean_busy = sum(self._busy(ep, 0.0) for ep in heard) / len(heard)
-            # Guards against tunnels that wait while no server is near its top.
-            self.full = FULL if self._waits() else min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
+            # Guards against tunnels that wait while no server is near its top; a plan says how full they get.
+            usual = FULL if self._waits() else min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
+            self.full = LEVEL if self.spread else usual
             median = sorted(ep.full_load for ep in heard)[len(heard) // 2]
             self.level = min(max(self.full, median), LEVEL)
         count = sum(len(ep.tunnels) for ep in heard)
--- a/pointgw/rig/scenario.py
+++ b/pointgw/rig/scenario.py
@@ -113,6 +113,7 @@
     late: NotUnder = 1.5  # seconds until discovery notices; that a datagram is late at most
     rule: tuple[Rule, ...] = ()  # links: what their boxes do
     side: Literal["servers", "clients"] = "servers"  # links: those to servers, or from clients
+    of: tuple[Number, ...] = ()  # links to servers: of these balancers alone; none: of all
     power: bool = False  # balancer-kill: their machines are off meanwhile, and tell a new run
 
     @property
@@ -153,6 +154,8 @@
             for number in trouble.which:
                 if number >= most:
                     yield f"trouble[{i}].which", number, f"numbers under {most}"
+            if any(number >= self.fleet.balancers for number in trouble.of):
+                yield f"trouble[{i}].of", trouble.of, f"numbers under {self.fleet.balancers}"
             if trouble.target == "peers" and not self.fleet.talks:
                 yield f"trouble[{i}].what", trouble.what, "fleet.talks = true, so that there are peers"
             if trouble.what == "links" and not trouble.rule:
--- a/pointgw/tier/accord.py
+++ b/pointgw/tier/accord.py
@@ -55,7 +55,8 @@
         if vote is not None and not self._done(vote) and now < self.since + patience:
             return
         if not self.wait_until:
-            place = min(self.members.alive().index(self.members.me), 8)
+            # Guards against waiting for those that have died with the zone: a suspect is passed over.
+            place = min(sorted(self.members.certain()).index(self.members.me), 8)
             self.wait_until = now + self._span(place * 0.5 + 2.0 * self.rng.random() * bool(place))
         if now >= self.wait_until:
             self.wait_until = 0.0
--- a/pointgw/tier/facts.py
+++ b/pointgw/tier/facts.py
@@ -140,32 +140,40 @@
         self.told.pop(key, None)
         self.news[key] = None
 
-    def _fresh(self, zone: int, now: float) -> list[Fact]:
-        """The newest first."""
-        fresh = [h for h in self.held.values() if h.fact.zone == zone and now - h.at <= OLD]
+    def _fresh(self, zone: int, now: float, of: set[int]) -> list[Fact]:
+        """What these tell of a zone, the newest first."""
+        about = [h for h in self.held.values() if h.fact.zone == zone and h.fact.origin in of]
+        fresh = [h for h in about if now - h.at <= OLD]
         return [h.fact for h in sorted(fresh, key=lambda h: (-h.at, h.fact.origin))]
 
     def all_zones(self, now: float) -> tuple[Zone, ...]:
         """What is held of each zone. What one tunnel needs is what all reports tell over all tunnels."""
-        fresh = [self._fresh(zone, now) for zone in range(self.zones)]
+        # Guards against clients counted twice: those of a balancer that died come to others long before its
+        # facts are old, and there would be no room for them. It hurts for a moment where one is suspected
+        # and lives: its zone's others stand for it.
+        certain = self.members.certain()
+        fresh = [self._fresh(zone, now, certain) for zone in range(self.zones)]
         used = sum(median_low(f.used for f in facts[:EYES]) / 1e3 for facts in fresh if facts)
-        own = [f for facts in fresh for f in facts if f.need]
-        there = len(self.members.alive())
-        most = ABOVE * median_low(sum(f.need) for f in own) if own else 0
-        unit = Tunnels(sum(min(f.open, most) for f in own), used * len(own) / max(1, there)).unit
-        zones = Counter(self.members.zone_of(n) for n in self.members.alive())
-        return tuple(self._zone(facts, unit, most, zones[z]) for z, facts in enumerate(fresh))
-
-    def _zone(self, fresh: list[Fact], unit: float, most: int, there: int) -> Zone:
-        """`most`: guards against one that claims all room for its clients. The front deals each as many; one
+        own = [[f for f in facts if f.need] for facts in fresh]
+        told = [f for facts in own for f in facts]
+        most = ABOVE * median_low(sum(f.need) for f in told) if told else 0
+        unit = Tunnels(sum(min(f.open, most) for f in told), used * len(told) / len(certain)).unit
+        there = Counter(self.members.zone_of(n) for n in certain)
+        return tuple(
+            self._zone(facts, own[z], unit * max(1.0, there[z] / max(1, len(own[z]))), most)
+            for z, facts in enumerate(fresh)
+        )
+
+    def _zone(self, fresh: list[Fact], own: list[Fact], unit: float, most: int) -> Zone:
+        """`own`: what its balancers tell. In a large tier not all are heard of in time: those that are stand
+        for the others by `unit`, what each tunnel counts.
+
+        `most`: guards against one that claims all room for its clients. The front deals each as many; one
         that truly has over four times as many as others is planned for less than it needs."""
         eyes = fresh[:EYES]
         room = median_low(f.room for f in eyes) / 1e3 if eyes else 0.0
         warm = median_low(f.warm for f in eyes) / 1e3 if eyes else 0.0
         need = [0.0] * self.profiles
-        own = [fact for fact in fresh if fact.need]
-        # In a large tier not all are heard of in time: those that are stand for the others of their zone.
-        unit *= max(1.0, there / max(1, len(own)))
         for fact in own:
             part = min(1.0, most / max(1, sum(fact.need)))
             for i, count in enumerate(fact.need):
--- a/pointgw/tier/members.py
+++ b/pointgw/tier/members.py
@@ -133,6 +133,10 @@
         there = [m.number for m in self.others.values() if m.state in (State.ALIVE, State.SUSPECT)]
         return sorted([*there, self.me])
 
+    def certain(self) -> set[int]:
+        """Those of them that nobody suspects, oneself among them."""
+        return {self.me, *(m.number for m in self.others.values() if m.state is State.ALIVE)}
+
     def known(self) -> list[int]:
         """All that were ever heard, oneself among them, but those that left."""
         heard = [m.number for m in self.others.values() if m.run and m.state is not State.LEFT]
--- a/pointgw/tier/node.py
+++ b/pointgw/tier/node.py
@@ -20,7 +20,7 @@
 from pointgw.tier.plan import Kind, Plan, Ways
 
 EMPTY, FILLED = 0.1, 0.3  # of what a zone can do when warm: room under which it is closed, over which opened
-SHORT, LONG = 4, 16  # periods for which it must be so
+SHORT, LONG = 2, 16  # periods for which it must be so
 FAN = 3  # others that hear at once of a vote that has changed
 SOON = 0.25  # of a period: the shortest time between two such words
 
--- a/pointgw/tier/plan.py
+++ b/pointgw/tier/plan.py
@@ -2,8 +2,9 @@
 
 Water-filling in rings. Profiles of the highest credit first; within them each zone's own clients first, then
 the own region's zones, then other regions by the stated cost of the way. No zone is filled above a stated
-part of what its ready servers can do now. What no zone can bear stays unplaced: its origin turns it away, and
-hands it on to nobody. A profile goes no way that takes up more than its setup goal can bear. All balancers
+part of what its ready servers can do now; where all are full so, what is left over fills them to a higher
+one, in the same order. What no zone can bear then stays unplaced: its origin turns it away, and hands it on
+to nobody. A profile goes no way that takes up more than its setup goal can bear. All balancers
 with the same facts make the same plan; `differ` tells how far two plans are apart.
 
 A plan is taken up in steps (`toward`): out of a zone quickly, back slowly, and not at all for small
@@ -16,6 +17,7 @@
 from pointgw.tier.facts import Zone
 
 BOUND = 0.65  # of what a zone's ready servers can do: what is planned there at most
+TIGHT = 0.78  # the same, where some would be turned away else
 ROUNDS = 4  # of sharing what is left of a ring among those that want it
 LEAST = 1e-6  # mean servers that are not worth placing
 BAND = 0.03  # of a profile's traffic: a share that differs by less is left as it is
@@ -84,16 +86,21 @@
     """The plan that these facts give. A zone that none has told of has no room and needs nothing: its own
     traffic stays at home, for its balancers to decide by their own eyes."""
     count = len(zones)
-    left = [0.0 if closed >> z & 1 else BOUND * zone.room for z, zone in enumerate(zones)]
     placed = [[[0.0] * count for _ in kinds] for _ in zones]
-    for credit in sorted({kind.credit for kind in kinds}, reverse=True):
-        same = [k for k, kind in enumerate(kinds) if kind.credit == credit]
-        rest = {(z, k): _need(zones[z], k) for z in range(count) for k in same}
-        rings = sorted({ways.ring(z, w) for z in range(count) for w in range(count)})
-        for ring in rings:
-            for _ in range(ROUNDS):
-                if not _share(rest, left, placed, kinds, ways, ring):
-                    break
+    rest = {(z, k): _need(zones[z], k) for z in range(count) for k in range(len(kinds))}
+    rings = sorted({ways.ring(z, w) for z in range(count) for w in range(count)})
+    # Guards against clients that are turned away while servers could yet take them: a bound that is right
+    # for a day with room is too low for one without. It hurts where servers grow slow long before they are
+    # full.
+    for part in (BOUND, TIGHT - BOUND):
+        left = [0.0 if closed >> z & 1 else part * zone.room for z, zone in enumerate(zones)]
+        for credit in sorted({kind.credit for kind in kinds}, reverse=True):
+            same = {at: need for at, need in rest.items() if kinds[at[1]].credit == credit}
+            for ring in rings:
+                for _ in range(ROUNDS):
+                    if not _share(same, left, placed, kinds, ways, ring):
+                        break
+            rest |= same
     return Plan(
         tuple(
             tuple(_shares(placed[z][k], _need(zones[z], k), z, closed) for k in range(len(kinds)))
--- a/tests/fleet/stage.py
+++ b/tests/fleet/stage.py
@@ -62,6 +62,11 @@
         a, b = self.meta.began + begin, self.meta.began + end
         return sum(isinstance(r, rec.Took) and r.server in servers and a <= r.t < b for r in self.found)
 
+    def took(self, balancer: int, begin: float, end: float) -> list[rec.Took]:
+        """Setups that a balancer sent, between two moments of the day."""
+        a, b = self.meta.began + begin, self.meta.began + end
+        return [r for r in self.found if isinstance(r, rec.Took) and r.balancer == balancer and a <= r.t < b]
+
     def went(self, zone: int, begin: float, end: float) -> Counter[int]:
         """Setups that balancers of a zone sent, by the server's zone, between two moments of the day."""
         a, b, zones = self.meta.began + begin, self.meta.began + end, len(self.meta.scenario.fleet.zones)
--- a/tests/fleet/test_talk.py
+++ b/tests/fleet/test_talk.py
@@ -8,11 +8,14 @@
 import pytest
 
 from fleet.stage import Case, Played, play
+from pointgw.faultbox.script import Rule
 from pointgw.rig.scenario import Demand, Trouble
 
 ZONES, REGIONS = ("a", "b", "c"), {"north": ("a", "b"), "south": ("c",)}
 SERVERS = 18
 OF_A = tuple(range(0, SERVERS, 3))  # servers of zone a; its balancers are 0 and 3
+OF_B = tuple(range(1, SERVERS, 3))
+REFUSED = (Rule(act="refuse"),)
 BUSY = Demand(arrivals=40.0, standing=520)  # about three quarters of what these servers bear
 CALM = Demand(arrivals=15.0, standing=180)  # about a quarter
 
@@ -42,6 +45,28 @@
         demand=CALM,
         seconds=18.0,
     ),
+    "one alone finds a zone failing": case(
+        Trouble(5.0, "links", 7.0, OF_B, of=(1,), rule=REFUSED), demand=CALM, seconds=14.0
+    ),
+    "all restarted meanwhile": case(
+        Trouble(5.0, "server-kill", 0.0, OF_A, late=2.0),
+        *(Trouble(8.0 + 1.7 * i, "balancer-stop", 1.0, (n,)) for i, n in enumerate((1, 2, 4, 5))),
+        demand=CALM,
+    ),
+    "two zones short": case(Trouble(5.0, "server-kill", 0.0, OF_A[::2] + OF_B[::2], late=2.0), seconds=14.0),
+    "balancers alone": case(Trouble(5.0, "balancer-kill", 0.0, (0, 3)), seconds=13.0),
+    "half of the balancers, then a zone": case(
+        Trouble(4.0, "balancer-kill", 0.0, (0, 1, 2)),
+        Trouble(9.0, "server-kill", 0.0, OF_A, late=2.0),
+        demand=CALM,
+        seconds=16.0,
+    ),
+    "a zone is cut off": case(
+        Trouble(5.0, "links", 8.0, OF_A, of=(1, 2, 4, 5), rule=REFUSED),
+        Trouble(5.0, "links", 8.0, tuple(n for n in range(SERVERS) if n % 3), of=(0, 3), rule=REFUSED),
+        Trouble(5.0, "peers-split", 8.0, (0, 3)),
+        demand=CALM,
+    ),
 }  # fmt: skip
 
 
@@ -111,3 +136,48 @@
     assert all(closed_at(folder, n)[-1] == "-" for n in range(6))
     status = json.loads((folder / "n1.status").read_text())
     assert status["figures"]["not believed"] > 50
+
+
+def test_what_one_alone_sees_closes_nothing(days: dict[str, tuple[Played, Path]]) -> None:
+    # Its own way to the zone is at fault; what the zone can do is what most see.
+    day, folder = days["one alone finds a zone failing"]
+    assert all(set(closed_at(folder, n)) == {"-"} for n in range(6))
+    near = [r for r in day.took(4, 6.0, 12.0) if day.meta.zones[r.server] == 1]
+    assert len(near) >= 0.95 * len(day.took(4, 6.0, 12.0)) > 5
+    assert min(day.served(profile, 6.0, 12.0) for profile in (0, 1)) > 0.9
+
+
+def test_what_was_agreed_outlasts_all_that_agreed_on_it(days: dict[str, tuple[Played, Path]]) -> None:
+    _, folder = days["all restarted meanwhile"]
+    assert all(closed_at(folder, n)[-1] == "a" for n in range(6))
+
+
+def test_two_zones_that_are_short_are_not_closed_and_credit_decides(
+    days: dict[str, tuple[Played, Path]],
+) -> None:
+    day, folder = days["two zones short"]
+    assert day.served(0, 8.0, 13.0) > day.served(1, 8.0, 13.0) + 0.05, day.result.by_profile
+    assert all(set(closed_at(folder, n)) == {"-"} for n in range(6))
+
+
+def test_clients_of_dead_balancers_are_not_counted_twice(days: dict[str, tuple[Played, Path]]) -> None:
+    # They come to others while what the dead have told is not old yet: there is room for all.
+    day, folder = days["balancers alone"]
+    assert min(day.served(profile, 8.5, 12.0) for profile in (0, 1)) > 0.9, day.result.by_profile
+    assert day.went(1, 8.0, 12.0)[0] + day.went(2, 8.0, 12.0)[0] > 5
+    assert all(set(closed_at(folder, n)) == {"-"} for n in (1, 2, 4, 5))
+
+
+def test_half_close_nothing_and_serve_by_their_own_eyes(days: dict[str, tuple[Played, Path]]) -> None:
+    day, folder = days["half of the balancers, then a zone"]
+    assert all(set(closed_at(folder, n)) == {"-"} for n in range(6))
+    assert min(day.served(profile, 12.5, 15.0) for profile in (0, 1)) > 0.9, day.result.by_profile
+
+
+def test_a_zone_that_is_cut_off_goes_on_inside(days: dict[str, tuple[Played, Path]]) -> None:
+    # It closes none of the others, though it reaches none, and keeps its own; there is one mind again after.
+    day, folder = days["a zone is cut off"]
+    went = day.went(0, 5.5, 13.0)
+    assert went[0] == went.total() > 10, went
+    assert all(set(closed_at(folder, n)) <= {"-", "a"} and closed_at(folder, n)[-1] == "-" for n in range(6))
+    assert min(day.served(profile, 6.0, 13.0) for profile in (0, 1)) > 0.9, day.result.by_profile
