--- a/pointgw/tier/accord.py
+++ b/pointgw/tier/accord.py
@@ -77,7 +77,9 @@
         if mine is None or vote.term > mine.term:
             own = b"" if now < self.started + self._span(ABSTAIN) else _bit(self.members.me)
             self._take(msgspec.structs.replace(vote, promised=_join(vote.promised, own)), now)
-        elif (vote.term, vote.leader, vote.closed) == (mine.term, mine.leader, mine.closed):
+        elif (vote.term, vote.closed) == (mine.term, mine.closed):
+            # Guards against two that ask for the same at one moment and share the promises: what is promised
+            # is a term's zones, whoever asked first.
             self._take(msgspec.structs.replace(mine, promised=_join(mine.promised, vote.promised)), now)
 
     def _take(self, vote: Vote, now: float) -> None:
--- a/pointgw/tier/facts.py
+++ b/pointgw/tier/facts.py
@@ -23,6 +23,7 @@
 MOST_FACTS = 16  # in a datagram
 ABOVE = 4  # times the median of all origins that one balancer's tunnels count at most
 EYES = 7  # the newest words on a zone's room that count: few are enough, and old ones would hold a change up
+KEPT = 2 * EYES  # of them that are held: so a large tier's facts take no more room than its members
 FEW = 10  # tunnels under which nothing is told of what one needs
 
 
@@ -75,6 +76,7 @@
     # Those of `held` that are to be passed on first, and the others, the longest not told first.
     news: dict[tuple[int, int], None] = field(default_factory=dict)
     told: dict[tuple[int, int], None] = field(default_factory=dict)
+    eyes: dict[int, dict[int, None]] = field(default_factory=dict)  # by zone: who tells its room alone
     refused: int = 0
 
     def see(self, seen: tuple[Seen, ...], now: float) -> None:
@@ -106,9 +108,7 @@
         """What is old, or of a process that is gone."""
         for key, held in list(self.held.items()):
             if now - held.at > OLD or not self._there(held.fact):
-                del self.held[key]
-                self.news.pop(key, None)
-                self.told.pop(key, None)
+                self._drop(key)
 
     def _there(self, fact: Fact) -> bool:
         if fact.origin == self.members.me:
@@ -139,6 +139,21 @@
         self.held[key] = held
         self.told.pop(key, None)
         self.news[key] = None
+        origin, zone = key
+        eyes = self.eyes.setdefault(zone, {})
+        if held.fact.need:
+            eyes.pop(origin, None)
+        else:
+            eyes[origin] = None
+        if len(eyes) > KEPT:
+            self._drop((min(eyes, key=lambda other: self.held[other, zone].at), zone))
+
+    def _drop(self, key: tuple[int, int]) -> None:
+        origin, zone = key
+        del self.held[key]
+        self.news.pop(key, None)
+        self.told.pop(key, None)
+        self.eyes[zone].pop(origin, None)
 
     def _fresh(self, zone: int, now: float, of: set[int]) -> list[Fact]:
         """What these tell of a zone, the newest first."""
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -25,7 +25,7 @@
 from pointgw.tier import given as tier_given
 from pointgw.tier import plan, wire
 from pointgw.tier.accord import Accord
-from pointgw.tier.facts import Seen, Zone
+from pointgw.tier.facts import EYES, KEPT, Seen, Zone
 from pointgw.tier.members import Members, State
 from pointgw.tier.plan import Kind, Plan, Ways
 from pointgw.tier.run import Voice
@@ -353,6 +353,42 @@
     assert len(agreed) <= 1
 
 
+def test_what_the_dead_asked_for_is_not_asked_of_their_zone_any_more() -> None:
+    # Their clients are at others by then; what they have told is not old for five seconds yet.
+    world = World(6)
+    world.run(8.0)
+    before = sum(world.nodes[1].zones(world.now)[0].need)
+    del world.nodes[0], world.nodes[3]
+    world.run(2.5)
+    after = sum(world.nodes[1].zones(world.now)[0].need)
+    assert before > 2.0 and after == 0.0
+
+
+def test_two_that_ask_for_the_same_at_one_moment_are_one_vote() -> None:
+    # They shared the promises of the term, and the zone stayed open for another three seconds.
+    world = World(5)
+    world.run(6.0)
+    nodes = list(world.nodes.values())
+    for n, node in enumerate(nodes):
+        node.accord._take(wire.Vote(1, n % 2, 1, bytes((1 << n,))), world.now)
+    for node in nodes:
+        for other in nodes:
+            told = other.accord.tells()
+            assert told is not None
+            node.accord.hear(told, world.now)
+    assert {node.accord.closed for node in nodes} == {1}
+
+
+def test_a_zones_room_is_held_of_few_and_the_newest() -> None:
+    world = World(40, zones=2)
+    world.run(6.0)
+    for node in world.nodes.values():
+        for zone in range(2):
+            eyes = [fact for (_, z), fact in node.facts.held.items() if z == zone and not fact.fact.need]
+            assert EYES <= len(eyes) <= KEPT
+        assert len(node.facts.held) <= 40 + 2 * KEPT
+
+
 def test_one_that_has_just_started_promises_nothing() -> None:
     members = Members(0, 3, 0, 1, 1, Random(1), 0.25)
     accord = Accord(members, Random(1), 100.0)
