--- a/pointgw/tier/node.py
+++ b/pointgw/tier/node.py
@@ -16,7 +16,7 @@
 from pointgw.tier import plan, wire
 from pointgw.tier.accord import Accord
 from pointgw.tier.facts import Facts, Seen, Zone
-from pointgw.tier.members import Members, Send
+from pointgw.tier.members import FEW, Members, Send
 from pointgw.tier.plan import Kind, Plan, Ways
 
 EMPTY, FILLED = 0.1, 0.3  # of what a zone can do when warm: room under which it is closed, over which opened
@@ -133,14 +133,14 @@
         return max(now, min(self.members.next_at(now), self.planned_at + self.told.period))
 
     def sees(self, seen: tuple[Seen, ...], now: float) -> None:
-        """What this balancer sees. Told anew at most every other period: others' facts want the room."""
+        """What this balancer sees. In a large tier told anew every other period: others' facts want room."""
         if self.looks(now):
             self.seen_at = now
             self.facts.see(seen, now)
 
     def looks(self, now: float) -> bool:
         """Whether it is time to look again; before that nothing need be reckoned."""
-        return now >= self.seen_at + 2 * self.told.period
+        return now >= self.seen_at + (1 if self.told.count < FEW else 2) * self.told.period
 
     def leaves(self, now: float) -> Out:
         return self._out(self.members.leave(), now)
