--- a/pointgw/tier/members.py
+++ b/pointgw/tier/members.py
@@ -21,8 +21,7 @@
 
 ASKED = 4  # others that are asked to ping one that did not answer
 WAIT = 0.4  # of a period: until others are asked
-MISSES = 2  # pings of one member in a row without an answer, after which it is suspected, of
-FEW = 16  # members and more; among fewer a suspicion is told and refuted in time, so one is enough
+FEW = 12  # members among which one ping without an answer is a suspicion; with each power of it one more
 SUSPECTED = 8.0  # periods that a suspicion stands at least, once enough have confirmed it
 ALONE = 3.0  # times that, while one alone holds it
 CONFIRMED = 3  # others whose word brings it to the least time
@@ -203,7 +202,7 @@
         self._doubts(1)
         member = self.others[ping.member]
         member.missed += 1
-        if member.state is State.ALIVE and member.missed < MISSES and self.count >= FEW:
+        if member.state is State.ALIVE and member.missed < log(max(2, self.count), FEW):
             # Guards a large tier whose words are lost: at 30% one ping in five fails, and so many suspicions
             # can't be told, nor refuted, in time. It costs a period until a death is seen.
             self.turn.append(member.number)
