The tier read once more: one word for being there, one reading of a balancer's log

Members said in six places which states are there, and filtered the others four times; now State.there and one list. A class for one quotient, a counter that nobody read and a placeholder index are gone; two comments said what was measured not to be so (room for the dead's clients, no swings at the bound).

--- a/pointgw/tier/facts.py
+++ b/pointgw/tier/facts.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from pointgw.tier import wire
-from pointgw.tier.members import Members, State
+from pointgw.tier.members import Members
 from pointgw.tier.wire import Fact
 
 OLD = 5.0  # seconds after which a fact tells nothing
@@ -48,18 +48,6 @@
     origins: int  # that told of it
 
 
-@dataclass(frozen=True, slots=True)
-class Tunnels:
-    """How many tunnels there are, and what is asked of servers by them: what one of them needs."""
-
-    open: int
-    used: float  # mean servers
-
-    @property
-    def unit(self) -> float:
-        return self.used / self.open if self.open >= FEW else 0.0
-
-
 @dataclass(slots=True)
 class Held:
     fact: Fact
@@ -77,7 +65,6 @@
     news: dict[tuple[int, int], None] = field(default_factory=dict)
     told: dict[tuple[int, int], None] = field(default_factory=dict)
     eyes: dict[int, dict[int, None]] = field(default_factory=dict)  # by zone: who tells its room alone
-    refused: int = 0
 
     def see(self, seen: tuple[Seen, ...], now: float) -> None:
         """What this balancer sees now, zone by zone."""
@@ -92,7 +79,6 @@
         """What another tells, of itself or of a third. One whose process is not known tells nothing."""
         origin = self.members.others.get(fact.origin)
         if origin is None or fact.zone >= self.zones or len(fact.need) > self.profiles:
-            self.refused += 1
             return
         if not origin.run or origin.run & HALF != fact.run:
             return
@@ -114,8 +100,7 @@
         if fact.origin == self.members.me:
             return True
         member = self.members.others[fact.origin]
-        there = member.state in (State.ALIVE, State.SUSPECT)
-        return there and member.run & HALF == fact.run
+        return member.state.there and member.run & HALF == fact.run
 
     def pick(self, spare: int, now: float) -> tuple[Fact, ...]:
         """What the next datagram tells within so many bytes: news first, then what was not told for
@@ -163,16 +148,17 @@
 
     def all_zones(self, now: float) -> tuple[Zone, ...]:
         """What is held of each zone. What one tunnel needs is what all reports tell over all tunnels."""
-        # Guards against clients counted twice: those of a balancer that died come to others long before its
-        # facts are old, and there would be no room for them. It hurts for a moment where one is suspected
-        # and lives: its zone's others stand for it.
+        # Guards against need in the wrong zone: clients of a balancer that died come to others long before
+        # its facts are old. It hurts for a moment where one is suspected and lives: its zone's others stand
+        # for it.
         certain = self.members.certain()
         fresh = [self._fresh(zone, now, certain) for zone in range(self.zones)]
         used = sum(median_low(f.used for f in facts[:EYES]) / 1e3 for facts in fresh if facts)
         own = [[f for f in facts if f.need] for facts in fresh]
         told = [f for facts in own for f in facts]
         most = ABOVE * median_low(sum(f.need) for f in told) if told else 0
-        unit = Tunnels(sum(min(f.open, most) for f in told), used * len(told) / len(certain)).unit
+        count = sum(min(f.open, most) for f in told)
+        unit = used * len(told) / len(certain) / count if count >= FEW else 0.0
         there = Counter(self.members.zone_of(n) for n in certain)
         return tuple(
             self._zone(facts, own[z], unit * max(1.0, there[z] / max(1, len(own[z]))), most)
--- a/pointgw/tier/members.py
+++ b/pointgw/tier/members.py
@@ -47,6 +47,11 @@
     def word(self) -> wire.Word:
         return WORDS[self]
 
+    @property
+    def there(self) -> bool:
+        """A suspect is until it is dead."""
+        return self in (State.ALIVE, State.SUSPECT)
+
 
 WORDS: tuple[wire.Word, ...] = (wire.ALIVE, wire.SUSPECT, wire.DEAD, wire.LEFT)
 
@@ -137,9 +142,11 @@
     # What others ask.
 
     def alive(self) -> list[int]:
-        """All that are taken to be there, oneself among them; a suspect is until it is dead."""
-        there = [m.number for m in self.others.values() if m.state in (State.ALIVE, State.SUSPECT)]
-        return sorted([*there, self.me])
+        """All that are taken to be there, oneself among them."""
+        return sorted([*self._others_there(), self.me])
+
+    def _others_there(self) -> list[int]:
+        return [m.number for m in self.others.values() if m.state.there]
 
     def certain(self) -> set[int]:
         """Those of them that nobody suspects, oneself among them."""
@@ -232,9 +239,9 @@
             # A member that is gone may be back, or on the other side of a split that is over.
             member = self.rng.choice(gone)
             out.append((member.number, self._packet(wire.HELLO, member.number)))
-        self.turn = [n for n in self.turn if self.others[n].state in (State.ALIVE, State.SUSPECT)]
+        self.turn = [n for n in self.turn if self.others[n].state.there]
         if not self.turn:
-            self.turn = [m.number for m in self.others.values() if m.state in (State.ALIVE, State.SUSPECT)]
+            self.turn = self._others_there()
             self.rng.shuffle(self.turn)
         self.ping = None
         if self.turn:
@@ -342,7 +349,7 @@
                     member.confirmed.add(news.by)
             case State.SUSPECT if newer or member.state is State.ALIVE:
                 self._to(member, State.SUSPECT, news.incarnation, news.by, now)
-            case State.DEAD if newer or member.state in (State.ALIVE, State.SUSPECT):
+            case State.DEAD if newer or member.state.there:
                 # Dead by another's word alone is suspected here: own eyes, or time, make it so.
                 if member.state is State.SUSPECT:
                     member.confirmed.add(news.by)
@@ -360,17 +367,16 @@
             return
         if state not in NEXT[member.state]:
             raise ValueError(f"member {member.number}: {member.state.name} cannot become {state.name}")
-        was_there = member.state in (State.ALIVE, State.SUSPECT)
+        self.changes += member.state.there is not state.there
         self.false += member.state is State.DEAD and state is State.ALIVE and member.heard >= 0
         member.state, member.since = state, now
         member.incarnation = max(member.incarnation, incarnation)
         member.confirmed = {by} if state is State.SUSPECT else set()
-        self.changes += was_there is not (state in (State.ALIVE, State.SUSPECT))
         self._tell(wire.News(member.number, state.word, member.incarnation, by))
 
     def some(self, count: int) -> list[Send]:
         """A word to some others at once, for what can't wait for the next ping."""
-        there = [n for n in self.alive() if n != self.me]
+        there = self._others_there()
         return [(n, self._packet(wire.ACK, n)) for n in self.rng.sample(there, min(count, len(there)))]
 
     def leave(self) -> list[Send]:
--- a/pointgw/tier/plan.py
+++ b/pointgw/tier/plan.py
@@ -4,11 +4,11 @@
 the own region's zones, then other regions by the stated cost of the way. No zone is filled above a stated
 part of what its ready servers can do now; where all are full so, what is left over fills them to a higher
 one, in the same order. What no zone can bear then stays unplaced: its origin turns it away, and hands it on
-to nobody. A profile goes no way that takes up more than its setup goal can bear. All balancers
-with the same facts make the same plan; `differ` tells how far two plans are apart.
+to nobody. A profile goes no way that takes up more than its setup goal can bear. All balancers with the same
+facts make the same plan; `differ` tells how far two plans are apart.
 
 A plan is taken up in steps (`toward`): out of a zone quickly, back slowly, and not at all for small
-differences, so that load at a boundary does not swing."""
+differences. A load held at the bound that swings by more than those is followed all the same."""
 
 from __future__ import annotations
 
@@ -150,11 +150,9 @@
 
 def _shares(placed: list[float], need: float, origin: int, closed: int) -> Share:
     if need <= LEAST:  # who comes all the same stays near
-        home = origin if not closed >> origin & 1 else -1
-        if home < 0:
-            total = sum(1 for w in range(len(placed)) if not closed >> w & 1)
-            return tuple(0.0 if closed >> w & 1 else 1.0 / max(1, total) for w in range(len(placed)))
-        return tuple(float(w == home) for w in range(len(placed)))
+        stay = [w for w in range(len(placed)) if not closed >> w & 1]
+        near = [origin] if origin in stay else stay
+        return tuple(1.0 / len(near) if w in near else 0.0 for w in range(len(placed)))
     return tuple(min(1.0, amount / need) for amount in placed)
 
 
--- a/tests/fleet/test_talk.py
+++ b/tests/fleet/test_talk.py
@@ -76,8 +76,15 @@
     return {name: (day, folder / name.replace(" ", "-")) for name, day in play(CASES, folder).items()}
 
 
+def changes(folder: Path, balancer: int) -> list[dict[str, str]]:
+    """What a balancer's log says at each change of its tier, since its last start."""
+    log = (folder / f"n{balancer}.log").read_text().split("event=serving")[-1]
+    lines = [line for line in log.splitlines() if "event=tier" in line]
+    return [dict(word.split("=", 1) for word in line.split()) for line in lines]
+
+
 def closed_at(folder: Path, balancer: int) -> list[str]:
-    """The zones that a balancer says were closed, in order, by its log."""
+    """The zones that a balancer says were closed, in order, in all its starts."""
     lines = [line for line in (folder / f"n{balancer}.log").read_text().splitlines() if "event=tier" in line]
     return [word.removeprefix("closed=") for line in lines for word in line.split() if "closed=" in word]
 
@@ -128,10 +135,8 @@
     _, folder = days["the first stands still"]
     there = []
     for number in (1, 2, 4, 5):
-        log = (folder / f"n{number}.log").read_text().splitlines()
-        closed = next(line for line in log if "event=tier" in line and "closed=a" in line)
-        there += [word for word in closed.split() if word.startswith("there=")]
-    assert there.count("there=6") >= 3, there
+        there += [next(line for line in changes(folder, number) if line["closed"] == "a")["there"]]
+    assert there.count("6") >= 3, there
 
 
 def test_what_was_said_before_changes_nothing(days: dict[str, tuple[Played, Path]]) -> None:
@@ -157,11 +162,9 @@
     _, folder = days["all restarted meanwhile"]
     assert all(closed_at(folder, n)[-1] == "a" for n in range(6))
     for number in (1, 2, 4, 5):
-        log = (folder / f"n{number}.log").read_text().split("event=serving")[-1].splitlines()
-        lines = [line for line in log if "event=tier" in line]
-        heard = next(line for line in lines if "closed=a" in line)
-        first, then = (float(line.split()[0].removeprefix("at=")) for line in (lines[0], heard))
-        assert then - first < 2.0, lines
+        lines = changes(folder, number)
+        heard = next(line for line in lines if line["closed"] == "a")
+        assert float(heard["at"]) - float(lines[0]["at"]) < 2.0, lines
 
 
 def test_two_zones_that_are_short_are_not_closed_and_credit_decides(
