Cold servers untold: an old report of little, and one not seen while others fell, told "warm"

Ruled out: strain alone (a calm machine broke it too), the budget's size, and counting of breaks.

And where a rack fell, a balancer had nothing at some of it: it never found these without a process, and saw empty, warm servers. Now, where several were found without a process within the cold time, one of which nothing was seen since (no report, no standing tunnel) is asked first, and counts as started now where it is empty beside the others. It holds against whatever takes several at once, named or not; it hurts servers that were idle before, for one warm-up, and those behind a shut way where this balancer had no tunnel.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -141,7 +141,7 @@
         self.trying, self.probing, self.probe_due = 0, False, 0.0  # own setups out; a probe out; the next
         self.waiting: list[Tunnel] = []  # tunnels that wait for the answer to a probe
         self.down, self.warm_before = False, 0.0  # found without a process, not heard since; `warm_at` before
-        self.broke, self.broke_at = 0, -inf  # own tunnels that it broke at one moment; when
+        self.broke, self.broke_at, self.refused_at = 0, -inf, -inf  # tunnels broken at a moment; both, when
         self.unsure = False  # no list has told of it since this balancer started
         self.back_at, self.spell = -inf, 0.0  # last back from being down; the longest up lately in between
         self.hold_until = 0.0  # not ready before this, as it fails by turns
@@ -204,6 +204,7 @@
         self.start = self.chance()  # its start among every n-th
         self.live: list[Server] = []  # those of `servers` that are active, by mark
         self.purse, self.out = 0.0, 0  # what probes may still cost, in credit; setups that are out
+        self.falls = deque([-inf] * MANY, MANY)  # when the last servers were found without a process
         self.lost, self.lost_at = 0, now  # setups that ended unopened since one was opened; when the last did
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self._wake(now, self.pace)
@@ -308,11 +309,8 @@
     # Readiness.
     def _ready(self, eps: list[Server], now: float) -> list[Server]:
         """Not suspended, with room, within the budget of a cold one, or asked first if it had no process."""
-        return [
-            ep
-            for ep in self._with_room(eps, now)
-            if ep.out_until <= now and ep.hold_until <= now and self._may_get(ep, now)
-        ]
+        at_all = [ep for ep in eps if max(ep.out_until, ep.hold_until) <= now]
+        return [ep for ep in self._with_room(at_all, now) if self._may_get(ep, now)]
 
     def _with_room(self, eps: list[Server], now: float) -> list[Server]:
         # One not heard from since this refuses nobody: it is asked again before an offer.
@@ -326,17 +324,15 @@
         once. What ended or was moved off makes no room before a report shows it: its group may stay, and the
         server would stay full."""
         load = self.mean_load if ep.busy is None else ep.full_load
-        # With no report at all, all have room.
-        ep.reckoned = -inf if load is None else load + self._added(ep) + ep.others
+        ep.reckoned = -inf if load is None else load + self._added(ep) + ep.others  # no report: all have room
 
     def _added(self, ep: Server) -> float:
         """Load that all balancers are likely to have added since, each as this one did."""
         return len(ep.recent) * (min(self.load_unit, ep.adds) * self.balancers)
 
     def _crowd(self, now: float) -> float:
-        """Load that the others may add to a server with room, if as many tunnels wait at them; NEWS at most.
-        Each reckons with a part by chance. Guards against many that each send a tunnel for the same little
-        room."""
+        """Load that others may add to a server with room, if as many tunnels wait at them; NEWS at most, by
+        chance a part of it. Guards against many that each send a tunnel for the same little room."""
         if self.balancers <= len(self.live):
             return 0.0
         theirs = len(self.held) * (self.balancers - 1) * self.load_unit
@@ -396,13 +392,8 @@
             return self._candidates(tun, now)
         # Guards against being left without servers, and a storm: one setup out, none for a time after.
         if not ready:
-            ready = [
-                ep
-                for ep in self._with_room(able, now)
-                if max(ep.out_until, ep.hold_until) > now >= ep.trial_due
-                and not ep.trying
-                and self._may_get(ep, now)
-            ]
+            due = [e for e in able if max(e.out_until, e.hold_until) > now >= e.trial_due and not e.trying]
+            ready = [ep for ep in self._with_room(due, now) if self._may_get(ep, now)]
         return ready
 
     @staticmethod
@@ -458,15 +449,12 @@
 
     def _at_home(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
         """Where room is scarce, the ready servers that hold the group, and others the nearer to its home the
-        fuller they are. Guards against a fleet that fills again after a mass break, whatever broke it: a
-        server with a little room would pay for nearly as many groups as it holds tunnels. It hurts a group so
-        large that its tunnels wait while servers far from its home have a little room."""
-        far, near = AWAY * len(self.live) / WORD, self.full + AWAY * HOME
-        return [
-            ep
-            for ep in ready
-            if tun.group in ep.groups or ep.reckoned + max(AWAY * HOME, far * self._far(tun, ep)) < near
-        ]
+        fuller they are. Guards a fleet that fills again after a mass break: a server with a little room would
+        pay for nearly as many groups as tunnels. It hurts a group whose tunnels wait while there is room far
+        from its home."""
+        far, home, group = AWAY * len(self.live) / WORD, AWAY * HOME, tun.group
+        fuller = {ep: ep.reckoned + max(home, far * self._far(tun, ep)) for ep in ready}
+        return [ep for ep in ready if group in ep.groups or fuller[ep] < self.full + home]
 
     @staticmethod
     def _home(tun: Tunnel, ready: list[Server]) -> list[Server]:
@@ -486,7 +474,7 @@
         # Rule 1: a tunnel that waits for an answer is looked at again before its time is out.
         late = now + 2 * self.pace >= tun.deadline
         for ep in tun.drawn:
-            old = ep.down or now - ep.asked_at > FRESH * self.goal
+            old = ep.down or now - ep.asked_at > FRESH * self.goal or self._unseen(ep, now)
             if not late and old and (ep.probing or self._may_ask()):
                 self._ask_load(ep)
                 ep.waiting.append(tun)
@@ -639,7 +627,7 @@
             setup.began = True
             self._vouch(setup.ep, now)
             if setup.ep.down and not self.may_probe:
-                self._returned(setup.ep, None, now)
+                self._returned(setup.ep, None, 0.0, now)
             if self.weighs:
                 setup.ep.took.append(setup.sent_at)
             if len(setup.ep.took) == SEEN:
@@ -751,6 +739,8 @@
             ep.strikes = min(ep.strikes + 1, 4)
             ep.out_until = now + self.goal * 4 * 2**ep.strikes * self.uniform(0.8, 1.2)
         if ending == "no-connection":
+            self.falls.extend(() if ep.down else (now,))
+            ep.refused_at = now
             self._fell(ep, now)
             # Many of an old list, never heard: the power of all may have gone, so none is taken to be warm.
             old = [other for other in self.live if other.unsure]
@@ -758,6 +748,14 @@
             for other in [o for o in old if o.warm_at <= now] if gone else ():
                 self._unsure(other, now)
 
+    def _unseen(self, ep: Server, now: float) -> bool:
+        """Several have lost their process lately, and of this one nothing was seen since: neither a report,
+        nor that own tunnels stand. Guards rule 4 where many go at once (a rack, power): a balancer that had
+        nothing at some of them would fill these at once, as they are empty. It hurts what was idle before."""
+        fell = self.falls[-1]
+        seen = ep.heard_at >= fell or any(tun.setups[-1].sent_at < fell for tun in ep.tunnels)
+        return now - self.falls[0] < self.cold_time and not seen
+
     def _fell(self, ep: Server, at: float) -> None:
         """It has no process. Until it is heard, it may get what one that starts then may."""
         if not ep.down:
@@ -766,21 +764,27 @@
             ep.warm_before, ep.warm_at = ep.warm_at, inf
             ep.budget, ep.budget_at = min(ep.budget, self.uniform(0.0, 1.0)), at
 
-    def _returned(self, ep: Server, figure: float | None, now: float) -> None:
+    def _returned(self, ep: Server, figure: float | None, load: float, now: float) -> None:
         """One that had no process, or broke own tunnels at a moment, answers again. Rule 4, where no list
-        tells: with little of what it held, or after both (others may have filled it again), it is taken as
-        started now; else it was out of reach, or full. It hurts one that emptied meanwhile."""
-        before = self.mean_busy if ep.busy is None else ep.busy
+        tells: it was out of reach or full if it holds half of what it and all others did, and own tunnels
+        stand or its load is more than a new one grows to; not after both. Else it started now: its report
+        before may be an old one, and others may fill it at once. It hurts one that emptied meanwhile."""
+        at, before = max(ep.refused_at, ep.broke_at), max(self.mean_busy, ep.busy or 0.0)
         warm_at = ep.warm_before if ep.down else ep.warm_at
         told = ep.busy is None and warm_at > now and not ep.guessed  # started lately, and not heard since
-        if told or (figure or 0.0) > (inf if ep.down and ep.broke >= BROKEN else RESTARTED * before):
+        old = any(t.setups[-1].sent_at < at for t in ep.tunnels) or self._grown(load) > now - at + self.goal
+        if told or (old and (figure or 0.0) > RESTARTED * before and not (ep.down and ep.broke >= BROKEN)):
             ep.warm_at = warm_at
         else:
             self._start(ep, now, now)
-            ep.guessed, ep.unsure = True, False
+            ep.guessed = True
         ep.broke = 0
         self._back(ep, now)
 
+    def _grown(self, load: float) -> float:
+        """How long a load takes at least to come within the budget that all spend on one that starts."""
+        return load * self.cold_time / (COLD_SAFE * LARGEST * self.tip_multiple)
+
     @staticmethod
     def _back(ep: Server, at: float) -> None:
         """Guards against a server that fails by turns, whatever the cause: it would break tunnels each time.
@@ -799,22 +803,20 @@
             self._heard(ep, report, now)
             self._shed(ep, now)
         elif ending == "ok" and ep.down:
-            self._returned(ep, None, now)
+            self._returned(ep, None, 0.0, now)
         elif ending in ("error", "timeout", "no-connection", "reset"):
             self._struck(ep, ending, now)
         self._told(ep, now)
 
     def _heard(self, ep: Server, report: Report, now: float) -> None:
-        ep.heard_at = ep.asked_at = now
+        load = report.get("load", 0.0)
         figure = next((report[word] for word in ("connections", "load", "backlog") if word in report), None)
-        if ep.down or ep.broke >= BROKEN:
-            self._returned(ep, figure, now)
-            ep.heard_at = ep.asked_at = now
-        ep.full_load = report.get("load", 0.0)
+        empty = self._unseen(ep, now) and (figure or 0.0) <= RESTARTED * self.mean_busy
+        if ep.down or ep.broke >= BROKEN or empty:
+            self._returned(ep, figure, load, now)
+        ep.full_load, ep.heard_at, ep.asked_at = load, now, now
         if ep.guessed:
-            # Within the budget of all such a load takes so long to come: it is at least as old.
-            age = ep.full_load * self.cold_time / (COLD_SAFE * LARGEST * self.tip_multiple)
-            ep.warm_at = min(ep.warm_at, now - age + self.cold_time)
+            ep.warm_at = min(ep.warm_at, now - self._grown(load) + self.cold_time)
         ep.busy = ep.busy if figure is None else figure
         # Guards against reports that are late: what was placed just before is not in them yet.
         cut = now - LATE * self.goal
@@ -828,12 +830,11 @@
 
     def _shed(self, ep: Server, now: float, settle: float = SETTLE) -> None:
         """Moves this balancer's share of what a server holds too much. Guards against a server asked for more
-        than it can do: it would answer late and drop tunnels anyway. All hear the same load, so the same part
-        of each one's tunnels takes it to the level, which follows the median of a crowded fleet, against
-        clients sent round and round. Where that is under its top, one asked for more than it can do gives up
-        whole groups, the least at home first: light tunnels keep what groups cost."""
-        if now - ep.shed_at >= settle * self.goal:
-            ep.shed = 0.0
+        than it can do: it would answer late and drop tunnels anyway. All hear the same load: the same part of
+        each one's tunnels takes it to the level, a crowded fleet's median, against clients sent round. Where
+        that is under its top, it gives up whole groups, the least at home first: light tunnels keep what
+        groups cost."""
+        ep.shed = 0.0 if now - ep.shed_at >= settle * self.goal else ep.shed
         if ep.full_load < self.level + OVER or not ep.tunnels:
             return
         # What was moved off so lately is not in the report yet.
@@ -952,10 +953,9 @@
         self.look_due = min((ep.look_at for ep in self.live if ep.look_at > now), default=inf)
 
     def _take_part(self, every: float) -> None:
-        """Where own tunnels can't pay for asking their two candidates, and probes by the clock can't keep all
-        reports, a balancer takes every n-th of the list from a start of its own. Sorted by mark, so that no
-        stride falls in step with zones or kinds; as many balancers share a part as leave no server without
-        one."""
+        """Where own tunnels can't pay for asking two candidates, nor probes by the clock keep all reports, a
+        balancer takes every n-th of the list from a start of its own: by mark, out of step with zones and
+        kinds; as many balancers share a part as leave no server without one."""
         n = 1
         if self.may_probe and 2 * self.probe_price > PROBE_SPEND + ASK_SPEND:
             n = min(int(every / LONG), len(self.live) // PART_LEAST, self.balancers // PART_LEAST)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -567,16 +567,75 @@
     assert bal._candidates(tunnel(bal), 102.6) == [ep]
 
 
-@pytest.mark.parametrize(("load", "cold"), [(0.1, True), (0.4, False)])
-def test_a_server_that_was_out_of_reach_and_comes_back_empty_is_a_new_process(
-    load: float, cold: bool
+@pytest.mark.parametrize(
+    ("load", "after", "stands", "cold"),
+    [
+        (0.1, 1.0, False, True),
+        (0.1, 1.0, True, True),
+        (0.4, 1.0, True, False),  # own tunnels stand, and it holds what it held
+        (0.4, 3.0, True, False),
+        (0.4, 1.0, False, False),  # none fills so far within the time
+        (0.4, 4.0, False, True),  # others may have
+    ],
+)
+def test_a_server_that_was_out_of_reach_is_a_new_process_unless_tunnels_or_a_load_speak_against_it(
+    load: float, after: float, stands: bool, cold: bool
 ) -> None:
     # The list may be late or silent: two cold servers were pushed over that no list told to have restarted.
     bal, _, (ep, _) = balancer([0.5, 0.5])
+    bal.mean_busy, now = 0.5, 100.0 + after
+    if stands:
+        bal.inherited(tunnel(bal), ep, 99.0)
     bal.probed(ep, "no-connection", {}, 100.0)
-    bal.probed(ep, "ok", {"load": load}, 103.0)
+    bal.probed(ep, "ok", {"load": load}, now)
     age = load * bal.cold_time / (COLD_SAFE * LARGEST * bal.tip_multiple)
-    assert ep.warm_at == pytest.approx(103.0 - age + bal.cold_time if cold else 0.0)
+    assert ep.warm_at == pytest.approx(now - age + bal.cold_time if cold else 0.0)
+
+
+@pytest.mark.parametrize("busy", [0.0, None])
+def test_an_old_report_of_little_does_not_make_a_restarted_server_the_process_it_was(
+    busy: float | None,
+) -> None:
+    # Seen with processes: a balancer that hardly used a server had last heard it empty, so that the first
+    # tunnels of others after its return were more than half of that, and 16 setups of its own went there
+    # at once.
+    bal, _, (ep, _) = balancer([busy, 0.5])
+    bal.mean_busy = 0.5
+    bal.probed(ep, "no-connection", {}, 100.0)
+    for _ in range(3):  # sent while it could not be asked: they tell nothing of the process before
+        tun = tunnel(bal)
+        bal._send(tun, ep, 100.5)
+        bal.opened(tun, 0, 100.6)
+    bal.probed(ep, "ok", {"load": 0.06}, 101.0)
+    assert ep.warm_at > 110.0 and ep.guessed
+
+
+@pytest.mark.parametrize(
+    ("fell", "heard", "stands", "load", "cold"),
+    [
+        (2, 99.0, False, 0.02, True),
+        (1, 99.0, False, 0.02, False),  # one alone tells nothing of others
+        (2, 100.5, False, 0.02, False),  # seen since
+        (2, 99.0, True, 0.02, False),  # a process that ends breaks all its tunnels
+        (2, 99.0, False, 0.4, False),  # as full as others
+    ],
+)
+def test_where_several_fell_one_that_was_not_seen_since_and_is_empty_is_a_new_process(
+    fell: int, heard: float, stands: bool, load: float, cold: bool
+) -> None:
+    # Seen with processes: of a rack of four a balancer had tunnels at two. It found these without a process;
+    # the other two were back by the time it asked, empty, and got all tunnels that waited at one moment.
+    bal, notes, (ep, *others) = balancer([0.0, 0.5, 0.5])
+    bal.mean_busy, ep.heard_at = 0.5, heard
+    if stands:
+        bal.inherited(tunnel(bal), ep, 98.0)
+    for other in others[:fell]:
+        bal.probed(other, "no-connection", {}, 100.0)
+    if cold:
+        bal._place(tunnel(bal), 101.0)
+        assert notes.words() == ["probe"]  # asked first, though its report is young enough
+    bal.probed(ep, "ok", {"load": load}, 101.0)
+    assert (ep.warm_at > 110.0) is cold
 
 
 def started(count: int = 4, **changes: Any) -> tuple[Balancer, list[Server]]:
@@ -655,7 +714,7 @@
     ("was", "told", "now", "cold"),
     [
         (0.5, 0.0, 0.1, True),
-        (0.5, 0.0, 0.4, False),
+        (0.5, 0.0, 0.4, False),  # own tunnels stand
         (0.5, 0.0, None, True),  # nothing speaks against it
         (0.5, 105.0, 0.1, True),  # a second time, while the first start's warm-up goes on
         (None, 105.0, 0.0, False),  # told and not heard since: it is as old as told
@@ -666,6 +725,7 @@
 ) -> None:
     bal, _, (ep, _) = balancer([was, 0.5])
     bal.mean_busy, ep.warm_at = 0.5, told
+    bal.inherited(tunnel(bal), ep, 99.0)
     bal.probed(ep, "no-connection", {}, 100.0)
     bal.probed(ep, "ok", {} if now is None else {"load": now}, 103.0)
     assert (ep.warm_at > 110.0) is cold and not ep.down
@@ -673,20 +733,24 @@
 
 
 @pytest.mark.parametrize(
-    ("apart", "load", "cold"), [(0.0, 0.05, True), (1.0, 0.05, False), (0.0, 0.4, False)]
+    ("apart", "load", "stands", "cold"),
+    [(0.0, 0.05, False, True), (1.0, 0.05, False, False), (0.0, 0.4, True, False), (0.0, 0.4, False, True)],
 )
 def test_a_server_that_breaks_its_tunnels_at_a_moment_and_is_empty_is_a_new_process(
-    apart: float, load: float, cold: bool
+    apart: float, load: float, stands: bool, cold: bool
 ) -> None:
     # One that restarts within a probe's time is never found without a process; one that is asked for too
-    # much breaks tunnels one by one, and one box between breaks them without emptying the server.
+    # much breaks tunnels one by one, and one box between breaks some without emptying the server.
     bal, _, (ep, _) = balancer([0.5, 0.5])
+    bal.mean_busy = 0.5
+    if stands:
+        bal.inherited(tunnel(bal), ep, 100.0)
     for i in range(2):
         tun = tunnel(bal)
         bal._send(tun, ep, 100.0)
         bal.opened(tun, 0, 100.1)
         bal.ended(tun, 0, "reset", True, {}, 101.0 + i * apart)
-    bal.probed(ep, "ok", {"load": load}, 102.5)
+    bal.probed(ep, "ok", {"load": load}, 104.0)
     assert (ep.warm_at > 110.0) is cold
 
 
