--- a/tests/fleet/test_cold_untold.py
+++ b/tests/fleet/test_cold_untold.py
@@ -40,6 +40,10 @@
 
 
 CASES = {
+    # Its servers afar are back, empty, and were not missed by those that now lose all that is near.
+    "a rack, then all near": Case(
+        (SILENT, killed(RACK, 4.0, 1.0), killed((4, 6, 8), 5.8)), remembers=False
+    ),
     "all down": Case((SILENT, balancers(4.0, 1.5, True), killed(ALL, 4.0))),
     "servers first": Case((SILENT, balancers(4.0, 2.5, True), killed(ALL, 4.0, 1.0))),
     "all down without disks": Case(
