[recovery]: cold servers' room is lent to balancers that need it; credit goes first while a fleet fills

Need: rule 4 gives each balancer 1/N of what a cold server may get; where few have tunnels waiting nearly all of it lies idle, and after a loss of power who is served first is chance. New package pointgw/recovery (loans, phase, words without I/O; voice), off unless the operators' file has [recovery]; off, nothing is loaded and the decisions are as before. A loan counts from when it was asked for, by the borrower's clock, and longer at the lender, so that parts sum to 1 whatever is lost, late, doubled or restarted (hypothesis, 2 to 60 balancers). While a quarter of the servers is cold and tunnels wait, these are served by credit. Ruled out: admission by chance, others' spending by reports, shares from facts told to all (docs/design/power-loss.md).

--- a/pointgw/net/run/daemon.py
+++ b/pointgw/net/run/daemon.py
@@ -50,8 +50,15 @@
         tiering = Tiering.begin(operators.told.tier, told)
         if tiering is None:
             return 2
+    recovering = None
+    if operators is not None and operators.told.recovery is not None:
+        from pointgw.net.run.recovering import Recovering
+
+        recovering = Recovering.begin(operators.told.recovery, told)
+        if recovering is None:
+            return 2
     try:
-        run(told, read, operators, policy, remembering, tiering)
+        run(told, read, operators, policy, remembering, tiering, recovering)
     except OSError as fault:
         print(f"pointgw: {told.listen[0]}:{told.listen[1]}: {fault}", file=sys.stderr)
         return 1
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from pointgw.net.run.operated import Operated
+    from pointgw.net.run.recovering import Recovering
     from pointgw.net.run.remembering import Remembering
     from pointgw.net.run.tiering import Tiering
 
@@ -56,8 +57,9 @@
         policy: type[Balancer] = Balancer,
         remembering: Remembering | None = None,
         tiering: Tiering | None = None,
+        recovering: Recovering | None = None,
     ) -> None:
-        self.remembering, self.tiering = remembering, tiering
+        self.remembering, self.tiering, self.recovering = remembering, tiering, recovering
         self.loop, self.start, self.again, self.operated = loop, start, again, operated
         self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
         self.reducer = self._reducer(policy)
@@ -135,10 +137,15 @@
             self.remembering.keep(self.reducer, self.loop)
         if self.tiering is not None:
             await self.tiering.speak(self.reducer, self.loop, self.start.seed)
+        if self.recovering is not None:
+            voice = self.tiering.voice if self.tiering is not None else None
+            await self.recovering.speak(self.reducer, self.loop, self.now, self.start.seed, voice)
         await self.ended
         listener.close()
         if self.tiering is not None:
             self.tiering.stop()
+        if self.recovering is not None:
+            self.recovering.stop()
         if self.remembering is not None:
             await self.remembering.stop()
 
@@ -276,9 +283,10 @@
     policy: type[Balancer] = Balancer,
     remembering: Remembering | None = None,
     tiering: Tiering | None = None,
+    recovering: Recovering | None = None,
 ) -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
-        await Node(start, loop, again, operated, policy, remembering, tiering).serve()
+        await Node(start, loop, again, operated, policy, remembering, tiering, recovering).serve()
 
     uvloop.run(main())
--- a/pointgw/net/run/operated.py
+++ b/pointgw/net/run/operated.py
@@ -31,7 +31,7 @@
             return None
 
     def again(self) -> None:
-        before = (self.told.state, _without(self.told.tier))
+        before = self._fixed()
         try:
             self.told = operators.read(self.path)
         except checked.Faulty as faulty:
@@ -39,10 +39,18 @@
                 _log.error("operators' file refused", extra={"fields": {"why": fault.line(self.path)}})
             return
         self._apply()
-        now = (self.told.state, _without(self.told.tier))
-        restart = ",".join(n for n, a, b in zip(("state", "tier"), before, now, strict=True) if a != b) or "-"
+        now = self._fixed()
+        restart = ",".join(name for name, was in before.items() if now[name] != was) or "-"
         _log.info("operators' file read", extra={"fields": {"path": self.path, "need_restart": restart}})
 
+    def _fixed(self) -> dict[str, object]:
+        """What a change of needs a restart."""
+        return {
+            "state": self.told.state,
+            "tier": _without(self.told.tier),
+            "recovery": self.told.recovery,
+        }
+
     def _apply(self) -> None:
         if self.told.log is not None:
             logging.getLogger().setLevel(self.told.log.level.upper())
--- a/pointgw/net/run/tiering.py
+++ b/pointgw/net/run/tiering.py
@@ -66,12 +66,7 @@
 
     @classmethod
     def _begin(cls, section: operators.Tier, start: Start) -> Tiering:
-        peers = tuple(_address(peer) for peer in section.peers) or start.peers
-        listen = _address(section.listen) if section.listen else start.peer_listen
-        if listen is None:
-            what = "HOST:PORT, as the start-up file has no peer_listen"
-            raise checked.Faulty("operators' file", [checked.Fault("tier.listen", "", what)])
-        me = start.number if start.number >= 0 else peers.index(listen) if listen in peers else -1
+        peers, listen, me = given.ends("tier", section, start.peers, start.peer_listen, start.number)
         names = start.names.zones
         told = given.told(section, names, start.site.zone, start.site.profiles, me, len(peers))
         keys = given.keys(section.key_file)
@@ -229,10 +224,3 @@
         return 1.0
     age = max(0.0, now - (ep.warm_at - balancer.cold_time)) / balancer.cold_time
     return balancer.cold_share + (1 - balancer.cold_share) * age
-
-
-def _address(text: str) -> Address:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise checked.Faulty("operators' file", [checked.Fault("tier", repr(text), "HOST:PORT")])
-    return host, int(port)
--- a/pointgw/operators.py
+++ b/pointgw/operators.py
@@ -50,12 +50,23 @@
     status: str = ""  # a file that tells how things stand, for `pointgw tier show`
 
 
+class Recovery(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How a fleet fills again. Peers, address and key: as `[tier]` has them, else the start-up file."""
+
+    peers: tuple[str, ...] = ()  # HOST:PORT of all balancers by number
+    listen: str = ""  # HOST:PORT
+    key_file: str = ""  # as `[tier]`'s
+    loans: bool = True  # parts of the cold servers' budget go to those that have tunnels waiting
+    order: bool = True  # who waits is served by credit while the fleet fills
+
+
 class Operators(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """All sections. A subsystem adds its own here."""
 
     log: Log | None = None
     state: State | None = None
     tier: Tier | None = None
+    recovery: Recovery | None = None
 
 
 def read(path: str) -> Operators:
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 from hashlib import blake2b
 from heapq import nsmallest
@@ -26,27 +26,25 @@
 STEP = 0.05  # of c, for a fractional busy figure
 NEVER_RAN = ("full", "no-connection", "moot")
 PROBE_SPEND, ASK_SPEND = 0.005, 0.012  # of the credit asked for: probes by the clock, asking candidates
-FRESH = 4  # setup goals for which a report is taken as it is, before a candidate is asked again
+FRESH, KEPT = 4, 10  # setup goals for which a report is taken as it is; tells who has room, if not asked
 ASKED = 4  # probes that are kept for the candidates of the next tunnel
 PART_LEAST = 8  # servers in a part of the list, and balancers to one, at least
 START_RATE = 0.5  # tunnels a second to a server, until the own arrivals tell
-KEPT = 10  # setup goals for which a report tells who has room, where the server may be asked again
 RETRY_SHARE = 0.2  # further setups that each tunnel opened, and each round, earns
 COLD_SAFE = 0.8  # of a cold server's budget that is spent, for chance and uneven tunnels
 COLD_GUESSED = 0.6  # of that, where its start is inferred: balancers may be more than stated
 COLD_KEPT = 0.25  # of the tip span: how long what was not spent of it is kept
 LARGEST = 2.0  # times the mean size that a server's listed size counts at most
 WAIT = 0.5  # of the client timeout: how long a tunnel waits for a ready server
-LATE = 2  # setup goals until a placement shows in the reports, or a first report comes
+LATE, SETTLE = 2, 4  # setup goals until a placement, or a move off, shows in the reports
 LONG = 30.0  # seconds over which rates and the highest busy figure are remembered
 SEEN, UNEVEN = 8, 2.0  # own tunnels from which a report tells what one adds at most; times that, for chance
 LIGHTEST = STEP / 100  # load that a tunnel adds at least, whatever reports tell
 MOST_SEEN = round(UNEVEN / LIGHTEST)  # own tunnels beyond which a report of load 1 tells no less
 NEWS = 0.1  # load that may have been added since a report before the next is asked for
-FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least
+FULL, FULL_LEAST = 0.65, 0.5  # load over capacity at which a server is not ready for more, and its least;
 ABOVE = 1.2  # that limit lies this far above the fleet's mean, between the two
-LEVEL = 1.25 * FULL  # the highest load that open tunnels are moved off down to
-OVER = 0.2  # load over that level from which they are moved
+LEVEL, OVER = 1.25 * FULL, 0.2  # load that open tunnels are moved off down to; over it, from which
 SEVERAL = 3  # own tunnels at a server over which probes of it are paid for by those that stand
 AWAY = 0.06  # load that a server must have less for each place that it lies away from a group's home
 SCARCE = 8  # setup goals for which a tunnel turned away tells that room is scarce
@@ -56,8 +54,7 @@
 HOLD = 1.5  # times the longest that a server which fails by turns stayed up: how long it must be back
 RESTARTED = 0.5  # of the figure it had: under this a server that had no process is taken to be a new one
 BROKEN = 2  # own tunnels that a server breaks at one moment: its process may be gone
-MANY = 2  # servers without a process, of those no list has told of since the start: power was lost
-SETTLE = 4  # setup goals for a move off to show in the reports
+MANY = 2  # servers without a process: more may be gone, and if no list told of them since, power was lost
 QUICK, SLOW = 0.1, 0.5  # of the setup goal: messages that show a server has caught up, or piles work up
 OVERDRIVEN = 1.2  # load that such a server is taken to have at least, until the next report
 CATCHING_UP = 0.85  # of the delay told before: under this the server works off what is piled up
@@ -193,7 +190,8 @@
         self.full = self.level = FULL  # the load at which a server is full; that moves take it down to
         self.mean_load: float | None = None
         self.mean_busy, self.mean_size, self.sized = 0.0, 1.0, site.sized
-        self.cold_gain = 0.0  # own tunnels a second to a server that starts, were it warm
+        self.cold_gain, self.cold_part = 0.0, 1.0  # own tunnels a second to one that starts; parts of 1/N
+        self.rank: Callable[[Tunnel], float] | None = None  # whoever waits is served in this order
         self.rate, self.came = 0.0, 0  # own arrivals a second, smoothed; from the first list on
         self.round_at = self.round_due = self.scarce_until = now  # ... until: a tunnel found no room lately
         self.look_due = self.tick_due = inf  # when the first report shows what own tunnels add; the next tick
@@ -384,9 +382,8 @@
         ready = self._ready(able, now)
         if tun.group and now < self.scarce_until and self._gathers():
             ready = self._at_home(tun, ready)
-        if ready and tun.setups:
-            tried = [s.ep for s in tun.setups]
-            ready = [ep for ep in ready if ep not in tried] or ready
+        if tun.setups:
+            ready = [ep for ep in ready if all(s.ep is not ep for s in tun.setups)] or ready
         if not ready and pool is not self.live:
             self.part = None  # the others serve until the next round
             return self._candidates(tun, now)
@@ -425,9 +422,8 @@
         return [ep for ep in self.live if ep.busy is not None]
 
     def _draw(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
-        """Two different ready servers at random: of those that hold the tunnel's group, if any, of these
-        those in the own zone; else of the group's home or of the own zone. A server pays for a group once:
-        scattering it would make load out of nothing. A crossing has a price."""
+        """Two different ready servers at random: of those that hold the tunnel's group, first those in the
+        own zone; else of the group's home or the own zone. A server pays once a group; crossings cost."""
         if len(ready) < 2:
             return ready
         held = [ep for ep in ready if tun.group in ep.groups] if tun.group else []
@@ -552,6 +548,8 @@
         holder = next(holders, None) if midflow and tun.key else None
         if holder is not None:
             self._send(tun, holder, now)
+        elif self.rank and any(self.rank(other) <= self.rank(tun) for other in self.held):
+            self._hold(tun, now)
         else:
             self._place(tun, now)
 
@@ -598,8 +596,8 @@
         """Waiting may help: a list, a report or a cold budget may come."""
         if not self._free(tun) and not all(self._may_go(tun, ep, now) for ep in self.live):
             return False
-        waited = now - (tun.deadline - tun.profile.client_timeout)
-        return waited < WAIT * tun.profile.client_timeout and now + self.pace < tun.deadline
+        left = tun.deadline - now
+        return left > self.pace and left > (1.0 - WAIT) * tun.profile.client_timeout
 
     def _send(self, tun: Tunnel, ep: Server, now: float) -> None:
         self.held.pop(tun, None)
@@ -628,8 +626,7 @@
             self._vouch(setup.ep, now)
             if setup.ep.down and not self.may_probe:
                 self._returned(setup.ep, None, 0.0, now)
-            if self.weighs:
-                setup.ep.took.append(setup.sent_at)
+            setup.ep.took.extend([setup.sent_at] * self.weighs)
             if len(setup.ep.took) == SEEN:
                 setup.ep.look_at = setup.sent_at + LATE * self.goal
                 self.look_due = min(self.look_due, setup.ep.look_at)
@@ -707,8 +704,7 @@
         is moved off as from one asked for too much, again after LATE unless messages grow quicker. Guards
         against whatever is slow for this balancer while reports look well: an untrue or old report, a noisy
         neighbour, an ageing machine, a way, a slow-down of all. Own messages are evidence that a report is
-        not. It hurts where a single tunnel's messages are slow by themselves, until quick ones lift the
-        suspension."""
+        not. It hurts where one tunnel's messages are slow by themselves, until quick ones lift it."""
         if tun.state is not State.OPEN:
             return
         ep = tun.setups[-1].ep
@@ -752,8 +748,7 @@
         """Several have lost their process lately, and of this one nothing was seen since: neither a report,
         nor that own tunnels stand. Guards rule 4 where many go at once (a rack, power): a balancer that had
         nothing at some of them would fill these at once, as they are empty. It hurts what was idle before."""
-        fell = self.falls[-1]
-        seen = ep.heard_at >= fell or any(tun.setups[-1].sent_at < fell for tun in ep.tunnels)
+        seen = ep.heard_at >= self.falls[-1] or any(t.setups[-1].sent_at < self.falls[-1] for t in ep.tunnels)
         return now - self.falls[0] < self.cold_time and not seen
 
     def _fell(self, ep: Server, at: float) -> None:
@@ -907,8 +902,7 @@
             # Guards against tunnels that wait while no server is near its top; a plan says how full they get.
             usual = FULL if self._waits() else min(max(FULL_LEAST, ABOVE * self.mean_load), FULL)
             self.full = LEVEL if self.spread else usual
-            median = sorted(ep.full_load for ep in heard)[len(heard) // 2]
-            self.level = min(max(self.full, median), LEVEL)
+            self.level = min(max(self.full, sorted(ep.full_load for ep in heard)[len(heard) // 2]), LEVEL)
         count = sum(len(ep.tunnels) for ep in heard)
         if count >= 2 * len(heard) > 0:
             # Never nought, also where no load is reported. It rises slowly: guards one that has just started,
@@ -921,7 +915,13 @@
         # Rule 4. A server that starts can take as many tunnels a second as fill it over its warm-up. Settings
         # tell what fills it: guards against a storm that raises it, and many tunnels that seem to be light.
         warm = 1.0 / (max(self.load_unit, self.start_unit) * self.cold_time)
-        self.cold_gain = COLD_SAFE * self.tip_multiple * warm / self.balancers
+        self.cold_gain = COLD_SAFE * self.tip_multiple * warm / self.balancers * self.cold_part
+
+    def lent(self, part: float, now: float) -> None:
+        """Rule 4: balancers lend one another parts of the budget; what was saved is by the part before."""
+        for ep in self.live:
+            self._within_budget(ep, now)
+        self.cold_gain, self.cold_part = self.cold_gain / self.cold_part * part, part
 
     def _probe(self, now: float) -> None:
         """Probes each server so often that these probes cost a set part of the credit asked for."""
@@ -966,7 +966,7 @@
 
     def _serve_held(self, now: float) -> None:
         none_ready = False  # for tunnels that may go anywhere: then they need not all look
-        for tun in list(self.held):
+        for tun in sorted(self.held, key=self.rank) if self.rank else list(self.held):
             if tun.state is State.ASKING and now + 2 * self.pace >= tun.deadline:
                 tun.to(State.HELD)  # no time is left to wait for an answer
                 # Guards rule 4: a cold server's budget may have gone to another tunnel meanwhile.
--- /dev/null
+++ b/pointgw/recovery/voice.py
@@ -0,0 +1,74 @@
+"""Loans on a socket: one datagram protocol, or the tier's where that has the address."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+from collections import Counter
+from collections.abc import Callable
+from typing import cast
+
+from pointgw.recovery import words
+from pointgw.recovery.loans import Loans
+from pointgw.recovery.words import Word
+from pointgw.tier.wire import Keys, Refused
+
+Address = tuple[str, int]
+
+
+class Voice(asyncio.DatagramProtocol):
+    """Speaks for one balancer. `changed` is called once a loan has come or was given."""
+
+    def __init__(
+        self,
+        loans: Loans,
+        keys: Keys,
+        peers: tuple[Address, ...],
+        loop: asyncio.AbstractEventLoop,
+        changed: Callable[[float], None],
+    ) -> None:
+        self.loans, self.keys, self.peers, self.loop, self.changed = loans, keys, peers, loop, changed
+        self.transport: asyncio.DatagramTransport | None = None
+        self.figures: Counter[str] = Counter()
+
+    async def listen(self, at: Address) -> None:
+        """Raises `OSError` where the address can't be had."""
+        await self.loop.create_datagram_endpoint(lambda: self, local_addr=at)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        if not self.keys.keys and not ipaddress.ip_address(addr[0]).is_loopback:
+            self.figures["refused: unsigned, from elsewhere"] += 1
+            return
+        try:
+            word = words.unseal(data, self.keys)
+        except Refused as why:
+            self.figures[f"refused: {why}"] += 1
+            return
+        loans, now = self.loans, self.loop.time()
+        if word.to != loans.me or word.balancers != loans.count or word.sender >= loans.count:
+            self.figures["refused: another tier's"] += 1
+        elif word.what == words.ASK and loans.asked(word.sender, now):
+            self.changed(now)  # first: what is lent is not used here any more
+            self._say(words.LEND, word.sender, word.number)
+        elif word.what == words.LEND and loans.given(word.sender, word.number, now):
+            self.changed(now)
+
+    def ask(self, needs: bool, idle: bool) -> None:
+        for lender, number in self.loans.asks(needs, idle, self.loop.time()):
+            self._say(words.ASK, lender, number)
+
+    def _say(self, what: words.What, to: int, number: int) -> None:
+        word = Word(what, self.loans.me, to, number, self.loans.count)
+        if self.transport is not None and not self.transport.is_closing():
+            self.figures["sent"] += 1
+            self.transport.sendto(words.seal(word, self.keys), self.peers[to])
+
+    def error_received(self, exc: Exception) -> None:
+        self.figures["not delivered"] += 1  # nobody listens there
+
+    def stop(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
--- a/pointgw/rig/play.py
+++ b/pointgw/rig/play.py
@@ -136,7 +136,7 @@
         await asyncio.gather(*(self._start_server(i, 0.0) for i in range(self.fleet.servers)))
         await self._start_discovery()
         await self._start_links()
-        if self.fleet.talks:
+        if self.fleet.peers:
             await self._start_peers()
         for number in range(self.fleet.balancers):
             await self._start_balancer(number)
@@ -308,7 +308,7 @@
             self.scenario, name, self._zone_of(number), self.scenario.seed * 1000 + number,
             self.layout.balancer(number), self.layout.discovery(number),
             [self._line(i, "up", 0.0) for i in range(self.fleet.servers)], self._addresses(number),
-            *(self._peers(number) if self.fleet.talks else ()),
+            *(self._peers(number) if self.fleet.peers else ()),
         )  # fmt: skip
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(told, indent=1))
@@ -325,6 +325,8 @@
             regions = "".join(f"{r} = {json.dumps(zones)}\n" for r, zones in self.fleet.regions.items())
             status = self.folder / f"{name}.status"
             sections += f'[tier]\nstatus = "{status}"\n[tier.regions]\n{regions}'
+        if self.fleet.recovers:
+            sections += "[recovery]\n"
         if sections:
             (self.folder / f"{name}.toml").write_text(sections)
             env["GW_OPERATOR"] = str(self.folder / f"{name}.toml")
--- a/pointgw/rig/scenario.py
+++ b/pointgw/rig/scenario.py
@@ -69,6 +69,12 @@
     remembers: bool = False  # balancers keep a memory on disk, in the run's folder
     talks: bool = False  # balancers know of each other: peers for them, and `[tier]`
     regions: dict[str, tuple[str, ...]] = {}  # zones by region, for that
+    recovers: bool = False  # balancers lend one another cold room: peers for them, and `[recovery]`
+
+    @property
+    def peers(self) -> bool:
+        """Whether balancers hear one another."""
+        return self.talks or self.recovers
 
 
 class Profile(Struct, frozen=True, forbid_unknown_fields=True):
@@ -156,8 +162,8 @@
                     yield f"trouble[{i}].which", number, f"numbers under {most}"
             if any(number >= self.fleet.balancers for number in trouble.of):
                 yield f"trouble[{i}].of", trouble.of, f"numbers under {self.fleet.balancers}"
-            if trouble.target == "peers" and not self.fleet.talks:
-                yield f"trouble[{i}].what", trouble.what, "fleet.talks = true, so that there are peers"
+            if trouble.target == "peers" and not self.fleet.peers:
+                yield f"trouble[{i}].what", trouble.what, "fleet.talks or recovers, so that there are peers"
             if trouble.what == "links" and not trouble.rule:
                 yield f"trouble[{i}].rule", (), "at least one rule, as what is 'links'"
             if trouble.what == "server-start" and not self.fleet.spare_servers:
--- a/pointgw/tier/given.py
+++ b/pointgw/tier/given.py
@@ -10,6 +10,7 @@
 
 from pointgw import checked
 from pointgw.interface import Profile
+from pointgw.operators import Recovery
 from pointgw.operators import Tier as Section
 from pointgw.tier import wire
 from pointgw.tier.node import Told
@@ -47,6 +48,30 @@
     )  # fmt: skip
 
 
+def ends(
+    name: str,
+    section: Section | Recovery,
+    peers: tuple[Address, ...],
+    listen: Address | None,
+    number: int,
+) -> tuple[tuple[Address, ...], Address, int]:
+    """All peers by number, where this one listens, and its number (-1: not among them); what a section does
+    not tell is as the start-up file has it. Raises `checked.Faulty`."""
+    peers = tuple(address(name, peer) for peer in section.peers) or peers
+    listen = address(name, section.listen) if section.listen else listen
+    if listen is None:
+        what = "HOST:PORT, as the start-up file has no peer_listen"
+        raise checked.Faulty("operators' file", [checked.Fault(f"{name}.listen", "", what)])
+    return peers, listen, number if number >= 0 else peers.index(listen) if listen in peers else -1
+
+
+def address(name: str, text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise checked.Faulty("operators' file", [checked.Fault(name, repr(text), "HOST:PORT")])
+    return host, int(port)
+
+
 def _faults(section: Section, zones: tuple[str, ...]) -> Iterator[checked.Fault]:
     known = "one of " + ", ".join(zones)
     seen: set[str] = set()
--- a/pointgw/tier/run.py
+++ b/pointgw/tier/run.py
@@ -28,6 +28,7 @@
         self.tier, self.peers, self.loop, self.before, self.after = tier, peers, loop, before, after
         self.transport: asyncio.DatagramTransport | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.others: dict[bytes, Callable[[bytes, Address], None]] = {}  # who takes datagrams of other names
 
     async def listen(self, at: Address) -> None:
         """Raises `OSError` where the address can't be had."""
@@ -41,6 +42,9 @@
         if not self.tier.keys.keys and not ipaddress.ip_address(addr[0]).is_loopback:
             self.tier.figures["refused: unsigned, from elsewhere"] += 1
             return
+        if data[:2] in self.others:
+            self.others[data[:2]](data, addr)
+            return
         self._send(self.tier.hears(data, self.loop.time()))
 
     def error_received(self, exc: Exception) -> None:
--- a/pointgw/tier/wire.py
+++ b/pointgw/tier/wire.py
@@ -116,9 +116,11 @@
 
     def sign(self, packet: Packet) -> bytes:
         """Raises `ValueError` where it would be too long."""
-        body = _encoder.encode(packet)
+        return self.seal(_encoder.encode(packet))
+
+    def seal(self, body: bytes, magic: bytes = MAGIC) -> bytes:
         which = _which(self.keys[0]) if self.keys else 0
-        head = MAGIC + bytes((VERSION, which))
+        head = magic + bytes((VERSION, which))
         data = head + _signature(self.keys[0] if self.keys else b"", head, body) + body
         if len(data) > LARGEST:
             raise ValueError(f"a datagram of {len(data)} bytes, at most {LARGEST} may be sent")
@@ -126,9 +128,16 @@
 
     def open(self, data: bytes) -> Packet:
         """Raises `Refused`. Nothing of the body is read before the signature holds."""
+        try:
+            return _decoder.decode(self.unseal(data))
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            raise Refused("malformed") from None
+
+    def unseal(self, data: bytes, magic: bytes = MAGIC) -> bytes:
+        """The body, its signature verified. Raises `Refused`."""
         if len(data) > LARGEST:
             raise Refused("too long")
-        if len(data) < HEAD + SIGNED or data[:2] != MAGIC:
+        if len(data) < HEAD + SIGNED or data[:2] != magic:
             raise Refused("not ours")
         if data[2] != VERSION:
             raise Refused("another version")
@@ -136,10 +145,7 @@
         for key in self.keys or (b"",):
             if data[3] == (_which(key) if key else 0):
                 if compare_digest(_signature(key, head, body), signature):
-                    try:
-                        return _decoder.decode(body)
-                    except (msgspec.DecodeError, UnicodeDecodeError):
-                        raise Refused("malformed") from None
+                    return body
                 raise Refused("forged")
         raise Refused("another key")
 
--- a/tests/fleet/stage.py
+++ b/tests/fleet/stage.py
@@ -37,11 +37,13 @@
     zones: tuple[str, ...] = ("a", "b")
     regions: dict[str, tuple[str, ...]] | None = None  # where balancers talk
     demand: Demand = DEMAND
+    recovers: bool = False
 
     def scenario(self, name: str) -> Scenario:
         fleet = Fleet(
             self.balancers, self.servers, zones=self.zones, kinds=KINDS, remembers=self.remembers,
             probes=self.probes, talks=self.regions is not None, regions=self.regions or {},
+            recovers=self.recovers,
         )  # fmt: skip
         return Scenario(name, "a case", self.seconds, fleet=fleet, demand=self.demand, trouble=self.troubles)
 
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -498,8 +498,11 @@
     assert capfd.readouterr().err.count("\n") == 3
 
 
-def test_off_nothing_of_the_tier_is_imported() -> None:
-    code = "import sys, pointgw.net.run.daemon; print([m for m in sys.modules if 'tier' in m])"
+def test_off_nothing_of_the_tier_or_the_recovery_is_imported() -> None:
+    code = (
+        "import sys, pointgw.net.run.daemon; "
+        "print([m for m in sys.modules if 'tier' in m or 'recover' in m])"
+    )
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert run.stdout.strip() == "[]"
 
