--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
 from enum import Enum
 from hashlib import blake2b
@@ -20,8 +20,7 @@
 
 from pointgw.interface import Ending, Host, Listed, Profile, Report, Site
 
-WINDOW, WINDOW_LEAST = 20, 10  # offers to a window of SR_dyn (50 would not settle); under which it leaves c
-WINDOW_TIME = 10.0  # seconds after which a window closes
+WINDOW, WINDOW_LEAST, WINDOW_TIME = 20, 10, 10.0  # offers to one of SR_dyn; its least; seconds at most
 LOW, HIGH = 0.4, 0.6  # acceptance under which c rises, over which it falls
 STEP = 0.05  # of c, for a fractional busy figure
 NEVER_RAN = ("full", "no-connection", "moot")
@@ -202,7 +201,7 @@
         self.start = self.chance()  # its start among every n-th
         self.live: list[Server] = []  # those of `servers` that are active, by mark
         self.purse, self.out = 0.0, 0  # what probes may still cost, in credit; setups that are out
-        self.falls = deque([-inf] * MANY, MANY)  # when the last servers were found without a process
+        self.falls = defaultdict[int, deque[float]](lambda: deque([-inf] * MANY, MANY))  # of a cell: when
         self.lost, self.lost_at = 0, now  # setups that ended unopened since one was opened; when the last did
         self.retries = self.retry_top = float(self.max_setups)  # further setups that may be made now
         self._wake(now, self.pace)
@@ -735,7 +734,7 @@
             ep.strikes = min(ep.strikes + 1, 4)
             ep.out_until = now + self.goal * 4 * 2**ep.strikes * self.uniform(0.8, 1.2)
         if ending == "no-connection":
-            self.falls.extend(() if ep.down else (now,))
+            self.falls[ep.cell].extend(() if ep.down else (now,))
             ep.refused_at = now
             self._fell(ep, now)
             # Many of an old list, never heard: the power of all may have gone, so none is taken to be warm.
@@ -745,11 +744,12 @@
                 self._unsure(other, now)
 
     def _unseen(self, ep: Server, now: float) -> bool:
-        """Several have lost their process lately, and of this one nothing was seen since: neither a report,
-        nor that own tunnels stand. Guards rule 4 where many go at once (a rack, power): a balancer that had
-        nothing at some of them would fill these at once, as they are empty. It hurts what was idle before."""
-        seen = ep.heard_at >= self.falls[-1] or any(t.setups[-1].sent_at < self.falls[-1] for t in ep.tunnels)
-        return now - self.falls[0] < self.cold_time and not seen
+        """Several of its cell lost their process lately, and of this one nothing was seen since: no report,
+        no own tunnel that stands. Guards rule 4 where a rack or all power goes: a balancer that had nothing
+        there would fill it at once. It hurts what was idle before."""
+        first, last = self.falls[ep.cell]
+        seen = ep.heard_at >= last or any(tun.setups[-1].sent_at < last for tun in ep.tunnels)
+        return not seen and now - first < self.cold_time
 
     def _fell(self, ep: Server, at: float) -> None:
         """It has no process. Until it is heard, it may get what one that starts then may."""
--- /dev/null
+++ b/tests/filling_world.py
@@ -0,0 +1,146 @@
+"""Balancers with the real decisions before cold servers, on a virtual clock: what each server is sent.
+
+All servers are cold at the start. At some balancers tunnels come, at others none; at one moment some come at
+all of them. Words of loans are lost and late by chance. A server takes what it is sent at once; probes tell
+its load 20 ms later.
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import bisect_left
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+from itertools import count as counting
+from random import Random
+
+from helpers import Notes, site
+
+from pointgw.interface import Listed
+from pointgw.policy import Balancer, Server, State, Tunnel
+from pointgw.recovery.loans import Loans
+
+WARM = 60  # tunnels that a warm server bears
+STEP = 0.05  # seconds
+ANSWER = 0.02  # seconds that a probe, or a setup, takes
+START = 100.0
+
+
+class Host(Notes):
+    """Carries out what one balancer asks."""
+
+    def __init__(self, world: World) -> None:
+        super().__init__()
+        self.world = world
+
+    def setup(self, tun: Tunnel, ep: Server, patience: float) -> None:
+        world = self.world
+        world.sent[ep.name].append(world.now)
+        number = len(tun.setups) - 1
+        world.later(ANSWER, partial(world.balancers[self].opened, tun, number))
+
+    def decline(self, tun: Tunnel, come_back: float) -> None:
+        self.world.declined += 1
+
+    def probe(self, ep: Server) -> None:
+        self.world.later(ANSWER, partial(self.world.answer, self.world.balancers[self], ep))
+
+
+@dataclass
+class World:
+    count: int
+    servers: int
+    waiting: int  # balancers at which tunnels come from the start
+    rate: float  # tunnels a second at each of those
+    seed: int = 1
+    loans: bool = True
+    loss: float = 0.0
+    late: float = 0.03  # seconds, at most
+    balancers: dict[Host, Balancer] = field(default_factory=dict)
+    sent: dict[str, list[float]] = field(default_factory=dict)
+    declined: int = 0
+    now: float = START
+
+    def __post_init__(self) -> None:
+        self.rng = Random(self.seed)
+        self.queue: list[tuple[float, int, Callable[[float], object]]] = []
+        self.numbers = counting()
+        names = [f"s{i}" for i in range(self.servers)]
+        self.sent = {name: [] for name in names}
+        lines = [Listed(name, "active", 0, 0, 0, START, 1.0) for name in names]
+        told = site(balancers=self.count, shares=float(WARM * self.servers), asks=True)
+        for n in range(self.count):
+            host = Host(self)
+            self.balancers[host] = bal = Balancer(told, host, Random(f"{self.seed}/{n}"), START)
+            bal.listed(lines, True, False, START)
+            bal.purse = 1e9  # what probes cost is not the matter here
+        self.lending = [
+            Loans(n, self.count, told.tip_span, Random(f"{self.seed}/loans/{n}"), START - told.tip_span)
+            for n in range(self.count)
+        ]
+
+    def later(self, wait: float, what: Callable[[float], object]) -> None:
+        heapq.heappush(self.queue, (self.now + wait, next(self.numbers), what))
+
+    def answer(self, bal: Balancer, ep: Server, now: float) -> None:
+        age = (now - START) / bal.cold_time
+        share = min(1.0, bal.cold_share + (1 - bal.cold_share) * age)
+        bal.probed(ep, "ok", {"load": len(self.sent[ep.name]) / (WARM * share)}, now)
+
+    def play(self, seconds: float, all_at: float) -> None:
+        """`all_at`: seconds from the start at which five tunnels come at each balancer at once."""
+        came = False
+        for _ in range(round(seconds / STEP)):
+            until = self.now + STEP
+            while self.queue and self.queue[0][0] <= until:
+                at, _, what = heapq.heappop(self.queue)
+                self.now = max(self.now, at)
+                what(self.now)
+            self.now = until
+            come = not came and until >= START + all_at
+            came |= come
+            for n, bal in enumerate(self.balancers.values()):
+                many = 5 * come + (n < self.waiting and self.rng.random() < self.rate * STEP)
+                for _ in range(many):
+                    bal.arrived(bal.tunnel("t", 0, 0, "k", "", until + 3.0, False), False, until)
+                bal.tick(until)
+                if self.loans:
+                    self._lend(n, bal, until)
+
+    def _lend(self, n: int, bal: Balancer, now: float) -> None:
+        waits = any(tun.state is State.HELD for tun in bal.held) or now < bal.scarce_until
+        for lender, number in self.lending[n].asks(waits, not waits, now):
+            self._say(partial(self._asked, n, lender, number))
+        self._part(n, bal, now)
+
+    def _say(self, word: Callable[[float], object]) -> None:
+        if self.rng.random() >= self.loss:
+            self.later(self.rng.uniform(0.0, self.late), word)
+
+    def _asked(self, borrower: int, lender: int, number: int, now: float) -> None:
+        if self.lending[lender].asked(borrower, now):
+            self._part(lender, list(self.balancers.values())[lender], now)
+            self._say(partial(self.lending[borrower].given, lender, number))
+
+    def _part(self, n: int, bal: Balancer, now: float) -> None:
+        part = self.lending[n].part(now)
+        if part != bal.cold_part:
+            bal.lent(part, now)
+
+    def fullest(self) -> float:
+        """The most that a server was sent within a tip span, of what it could take then with two standard
+        deviations of chance."""
+        told = site()
+        worst = 0.0
+        for times in self.sent.values():
+            for i, at in enumerate(times):
+                begin = at - told.tip_span
+                age = max(0.0, at - told.tip_span / 2 - START) / told.cold_time
+                share = told.cold_share + (1 - told.cold_share) * age
+                limit = told.tip_multiple * WARM / told.cold_time * share * told.tip_span
+                worst = max(worst, (i + 1 - bisect_left(times, begin)) / (limit + 2.0 * limit**0.5))
+        return worst
+
+    def placed(self) -> int:
+        return sum(map(len, self.sent.values()))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -611,17 +611,18 @@
 
 
 @pytest.mark.parametrize(
-    ("fell", "heard", "stands", "load", "cold"),
+    ("fell", "near", "heard", "stands", "load", "cold"),
     [
-        (2, 99.0, False, 0.02, True),
-        (1, 99.0, False, 0.02, False),  # one alone tells nothing of others
-        (2, 100.5, False, 0.02, False),  # seen since
-        (2, 99.0, True, 0.02, False),  # a process that ends breaks all its tunnels
-        (2, 99.0, False, 0.4, False),  # as full as others
+        (2, True, 99.0, False, 0.02, True),
+        (1, True, 99.0, False, 0.02, False),  # one alone tells nothing of others
+        (2, False, 99.0, False, 0.02, False),  # nor do those of other cells
+        (2, True, 100.5, False, 0.02, False),  # seen since
+        (2, True, 99.0, True, 0.02, False),  # a process that ends breaks all its tunnels
+        (2, True, 99.0, False, 0.4, False),  # as full as others
     ],
 )
 def test_where_several_fell_one_that_was_not_seen_since_and_is_empty_is_a_new_process(
-    fell: int, heard: float, stands: bool, load: float, cold: bool
+    fell: int, near: bool, heard: float, stands: bool, load: float, cold: bool
 ) -> None:
     # Seen with processes: of a rack of four a balancer had tunnels at two. It found these without a process;
     # the other two were back by the time it asked, empty, and got all tunnels that waited at one moment.
@@ -630,6 +631,7 @@
     if stands:
         bal.inherited(tunnel(bal), ep, 98.0)
     for other in others[:fell]:
+        other.cell = ep.cell if near else other.cell
         bal.probed(other, "no-connection", {}, 100.0)
     if cold:
         bal._place(tunnel(bal), 101.0)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -10,6 +10,7 @@
 
 import msgspec
 import pytest
+from filling_world import World
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -277,3 +278,23 @@
     high, low = (Profile("repeatable", "all", 0.0, 0.3, 1.8, credit) for credit in (2.0, 1.0))
     order = [(high, True), (high, False), (low, True), (low, False)]
     assert sorted(reversed(order), key=lambda who: rank(*who)) == order
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(("count", "waiting"), [(40, 3), (40, 40), (6, 1)])
+@pytest.mark.parametrize(("loss", "late"), [(0.0, 0.03), (0.3, 1.5)])
+def test_no_cold_server_gets_more_than_it_can_take_when_all_come_at_once(
+    seed: int, count: int, waiting: int, loss: float, late: float
+) -> None:
+    # A few have the parts of all others out on loan when at each balancer five tunnels come.
+    world = World(count, 4, waiting, 60.0 / waiting, seed, loss=loss, late=late)
+    world.play(6.0, 3.0)
+    assert world.fullest() <= 1.0
+    assert world.placed() > 40
+
+
+def test_where_three_of_forty_wait_loans_open_more_of_their_tunnels() -> None:
+    alone, lent = (World(40, 4, 3, 20.0, loans=on) for on in (False, True))
+    for world in (alone, lent):
+        world.play(4.0, 99.0)
+    assert lent.placed() > 1.5 * alone.placed() > 10
