Tier: no balancer promises to close a zone that it sees with room; splits heal sooner

The check at acting (plan.bears) held the traffic, but the term and the log were wrong. Now a promise needs own facts that don't speak against it; it is given later if they come to. Unit test fails without.

--- a/pointgw/tier/accord.py
+++ b/pointgw/tier/accord.py
@@ -35,6 +35,7 @@
     since: float = 0.0
     agreed: Vote | None = None  # of the highest agreed term
     wait_until: float = 0.0
+    stands: int = 0  # zones, as bits, that this one sees with room: it promises no closing of them
 
     @property
     def closed(self) -> int:
@@ -75,12 +76,27 @@
             return
         mine = self.vote
         if mine is None or vote.term > mine.term:
-            own = b"" if now < self.started + self._span(ABSTAIN) else _bit(self.members.me)
-            self._take(msgspec.structs.replace(vote, promised=_join(vote.promised, own)), now)
+            promised = _join(vote.promised, self._own(vote, now))
+            self._take(msgspec.structs.replace(vote, promised=promised), now)
         elif (vote.term, vote.closed) == (mine.term, mine.closed):
             # Guards against two that ask for the same at one moment and share the promises: what is promised
             # is a term's zones, whoever asked first.
-            self._take(msgspec.structs.replace(mine, promised=_join(mine.promised, vote.promised)), now)
+            promised = _join(_join(mine.promised, vote.promised), self._own(mine, now))
+            self._take(msgspec.structs.replace(mine, promised=promised), now)
+
+    def look(self, now: float) -> None:
+        """Own eyes may have changed: an open vote that they spoke against may be promised now."""
+        vote = self.vote
+        if vote is not None and not self._done(vote):
+            promised = _join(vote.promised, self._own(vote, now))
+            if promised != vote.promised:
+                self._take(msgspec.structs.replace(vote, promised=promised), now)
+
+    def _own(self, vote: Vote, now: float) -> bytes:
+        """Own promise. None lately started, nor where own facts show room in a zone that is to be closed:
+        guards against a side that was cut off, saw nothing of the others, and is heard by them again."""
+        against = vote.closed & ~self.closed & self.stands
+        return b"" if against or now < self.started + self._span(ABSTAIN) else _bit(self.members.me)
 
     def _take(self, vote: Vote, now: float) -> None:
         """The one place where the vote changes; it is agreed as soon as enough have promised."""
--- a/pointgw/tier/members.py
+++ b/pointgw/tier/members.py
@@ -125,6 +125,7 @@
     turned: float = -inf  # the last turn
     stood_still: int = 0
     false: int = 0  # deaths that were taken back
+    back_at: float = -inf  # when the last of them was
     changes: int = 0  # of who is taken to be there
     strange: dict[int, int] = field(default_factory=dict)  # members whose region map is another
     unmet: list[int] = field(default_factory=list)  # never heard, asked next, in an order of chance
@@ -235,8 +236,10 @@
         if not self.unmet and self.rounds < ROUNDS:
             self._ask_unmet()
         gone = [m for m in self.others.values() if m.state in (State.DEAD, State.LEFT)]
-        if gone and not self.unmet and (len(gone) == len(self.others) or not self.rng.randrange(TRY_GONE)):
-            # A member that is gone may be back, or on the other side of a split that is over.
+        healing = len(gone) == len(self.others) or now < self.back_at + STILL * self.period
+        if gone and not self.unmet and (healing or not self.rng.randrange(TRY_GONE)):
+            # A member that is gone may be back, or on the other side of a split that is over; where one is
+            # back, the others may be.
             member = self.rng.choice(gone)
             out.append((member.number, self._packet(wire.HELLO, member.number)))
         self.turn = [n for n in self.turn if self.others[n].state.there]
@@ -368,7 +371,9 @@
         if state not in NEXT[member.state]:
             raise ValueError(f"member {member.number}: {member.state.name} cannot become {state.name}")
         self.changes += member.state.there is not state.there
-        self.false += member.state is State.DEAD and state is State.ALIVE and member.heard >= 0
+        back = member.state is State.DEAD and state is State.ALIVE and member.heard >= 0
+        self.false += back
+        self.back_at = now if back else self.back_at
         member.state, member.since = state, now
         member.incarnation = max(member.incarnation, incarnation)
         member.confirmed = {by} if state is State.SUSPECT else set()
--- a/pointgw/tier/node.py
+++ b/pointgw/tier/node.py
@@ -199,6 +199,9 @@
     def _want(self, zones: tuple[Zone, ...], now: float) -> None:
         """Which zones should be closed, by the facts and the operators; asked of the others once it lasts."""
         period, wanted = self.told.period, 0
+        stands = sum(1 << z for z, zone in enumerate(zones) if zone.room > FILLED * zone.warm > 0.0)
+        self.accord.stands = stands & ~self.told.evacuate
+        self.accord.look(now)
         for z, zone in enumerate(zones):
             closed = bool(self.accord.closed >> z & 1)
             has = zone.origins > 0 and zone.room > (FILLED if closed else EMPTY) * zone.warm and zone.warm > 0
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -530,3 +530,18 @@
     assert asyncio.run(write()) < 0.2
     assert msgspec.json.decode(status.read_bytes())["me"] == 0
     assert [path.name for path in tmp_path.iterdir()] == ["status.json"]
+
+
+@pytest.mark.parametrize(("stands", "promises"), [(0b110, False), (0b001, True)])
+def test_no_closing_is_promised_of_a_zone_that_own_facts_show_with_room(stands: int, promises: bool) -> None:
+    # Seen with processes: a zone's balancers, cut off, found all other zones gone; when the cut ended, those
+    # in the other zones promised that vote, and their own zones were agreed to be closed.
+    world = World(6)
+    world.run(4.0)  # so that all know of each other: two of six are no majority
+    accord, now = world.nodes[1].accord, world.now
+    accord.started, accord.stands = -100.0, stands
+    accord.hear(wire.Vote(1, 0, 0b110, b"\x01"), now)
+    assert accord.vote is not None and (accord.vote.promised == b"\x03") is promises
+    accord.stands = 0  # they are seen to be gone
+    accord.look(now)
+    assert accord.vote.promised == b"\x03"
