--- a/pointgw/net/memory/effects.py
+++ b/pointgw/net/memory/effects.py
@@ -83,10 +83,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """A call to discovery; `after`: the version known, `hold`: how long it may wait."""
+    """A call to discovery; `version`: the one known, `hold`: its longest wait, `after`: until it goes out."""
 
-    after: int | None
+    version: int | None
     hold: float
+    after: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/pointgw/net/memory/events.py
+++ b/pointgw/net/memory/events.py
@@ -76,7 +76,9 @@
 
 @dataclass(frozen=True, slots=True)
 class ListFailed:
-    """A call to discovery has failed."""
+    """A call to discovery has failed. `silent`: a watch of which nothing came, its wait long over."""
+
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import ceil, inf
 from random import Random
 from typing import TYPE_CHECKING
@@ -38,8 +38,10 @@
 if TYPE_CHECKING:
     from pointgw.state.recall import Recalled, Roster
 
+PUSHED_AGAIN = 0.25  # of the grace after a telling: the pause after a failed call, where lists are pushed
 HOLD = 0.5  # of the time after which a balancer that does not ask counts as told: how long a watch waits
 AGAIN = 0.25  # seconds until a tunnel that stood before the run is asked for again
+LEAST = 0.01  # seconds: the shortest such pause
 STANDING = 40.0  # seconds in which such a tunnel must be up
 ARRIVE_ON = 0.5  # seconds after the signal to stop in which new connections still come
 STEP = 0.1  # seconds between two rounds of moves while stopping
@@ -90,9 +92,12 @@
         self.tenants = {name: i for i, name in enumerate(start.tenants)}
         self.connect_within = start.connect_within
         self.hold = HOLD * start.site.ask_every
+        # Rule 3: what a list that is pushed has to tell counts at once, so it is asked for without a pause.
+        self.pushed = not start.site.asks
+        self.again_after = max(PUSHED_AGAIN * start.stop_sending, start.site.grain, LEAST)
         self.longest = max(p.client_timeout for p in start.site.profiles)
         self.stop_within = min(self.longest, LONGEST) + KILL_AFTER - SPARE
-        self.balancer = policy(start.site, self, Random(start.seed), now)
+        self.balancer = policy(replace(start.site, asks=True), self, Random(start.seed), now)
         self.probe_within = self.balancer.goal / 2
         if recalled is None:
             self._list(start.known, True)
@@ -125,7 +130,12 @@
                 self._told(event)
             case ListFailed():
                 self.asking = False
-                self.balancer.list_failed(now)
+                if self.pushed:
+                    self._ask(0.0, self.again_after)
+                elif event.silent:  # rule 3: what it missed soon counts as told, so at once
+                    self._ask(0.0)
+                else:
+                    self.balancer.list_failed(now)
             case Reloaded():
                 self._reloaded(event)
             case Tick():
@@ -282,10 +292,10 @@
             lines = self.roster.hear(lines, listing.addresses, listing.whole, self.now)
         self.balancer.listed(lines, listing.whole, cached, self.now)
 
-    def _ask(self, hold: float) -> None:
+    def _ask(self, hold: float, after: float = 0.0) -> None:
         if not self.asking:
             self.asking = True
-            self.effects.append(fx.Ask(self.index, hold))
+            self.effects.append(fx.Ask(self.index, hold, after))
 
     def _tick(self) -> None:
         if self.now < self.wake_at:
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -1,4 +1,4 @@
-"""Calls to discovery, one after another on a connection that is kept."""
+"""Calls to discovery, one after another, on a connection that is kept while calls succeed."""
 
 from __future__ import annotations
 
@@ -14,67 +14,87 @@
 if TYPE_CHECKING:
     from pointgw.net.run.node import Node
 
-SPARE = 1.5  # seconds that an answer may take beyond the time the call may wait
+# Seconds after the wait of a call from which what it had to tell counts as told, by the operators' page ("2 s after
+# that wait is over"). Half of it may go until the call is given up; the other half is the next one's.
+TOLD_AFTER = 2.0
+SPARE = TOLD_AFTER / 2
+ANSWER = 1.5  # seconds for an answer that does not wait: discovery works through calls in turn
 
 _log = logging.getLogger("pointgw.discovery")
 
 
-class DiscoverySide(asyncio.Protocol):
-    __slots__ = ("address", "asked", "names", "node", "response", "task", "timer", "transport")
+class DiscoverySide:
+    """The one call that is out, on whose behalf, and the connection it goes out on."""
+
+    __slots__ = ("address", "asked", "failing", "link", "names", "node", "task", "timer")
 
     def __init__(self, node: Node, address: tuple[str, int], names: listing.Names) -> None:
         self.node, self.address, self.names = node, address, names
         self.asked: Ask | None = None
-        self.response = listing.Response()
-        self.transport: asyncio.Transport | None = None
+        self.link: DiscoveryLink | None = None  # the one connection whose bytes count
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
+        self.failing = False  # the last call failed, and the log says so
 
     def ask(self, asked: Ask) -> None:
         self.asked = asked
-        self.timer = self.node.loop.call_later(asked.hold + SPARE, self._fail, "no answer")
-        if self.transport is not None:
-            self._send()
+        if asked.after:
+            self.timer = self.node.loop.call_later(asked.after, self._go, asked)
+        else:
+            self._go(asked)
+
+    def _go(self, asked: Ask) -> None:
+        within = asked.hold + SPARE if asked.hold else ANSWER
+        self.timer = self.node.loop.call_later(within, self.failed, "no answer")
+        if self.link is not None:
+            self.link.send(self._request(asked))
         else:
-            self.task = self.node.loop.create_task(self._connect())
+            self.link = link = DiscoveryLink(self)
+            self.task = self.node.loop.create_task(self._connect(link))
 
-    async def _connect(self) -> None:
+    async def _connect(self, link: DiscoveryLink) -> None:
         try:
-            await self.node.loop.create_connection(lambda: self, *self.address)
+            await self.node.loop.create_connection(lambda: link, *self.address)
         except OSError as fault:
-            self._fail(f"no connection: {fault}")
+            if link is self.link:
+                self.failed(f"no connection: {fault}")
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        if self.asked is not None:
-            self._send()
-
-    def _send(self) -> None:
-        assert self.transport is not None and self.asked is not None
+    def _request(self, asked: Ask) -> bytes:
         host = f"{self.address[0]}:{self.address[1]}"
-        self.transport.write(listing.request(host, self.asked.after, self.asked.hold))
+        return listing.request(host, asked.version, asked.hold)
 
-    def data_received(self, data: bytes) -> None:
+    def up(self, link: DiscoveryLink) -> None:
+        assert self.asked is not None
+        link.send(self._request(self.asked))
+
+    def answered(self, link: DiscoveryLink) -> None:
+        """A whole answer has come on the connection that counts."""
+        response = link.response
+        if self.asked is None:
+            self._close()  # nothing was asked
+            return
+        if response.status != 200:
+            self.failed(f"status {response.status}")
+            return
         try:
-            self.response.feed(data)
-            if not self.response.done or self.asked is None:
-                return
-            self.response.done = False
-            if self.response.status != 200:
-                self._fail(f"status {self.response.status}")
-                return
-            told = listing.body(bytes(self.response.data), self.names)
+            told = listing.body(bytes(response.data), self.names)
         except Malformed as fault:
-            self._fail(str(fault))
+            self.failed(str(fault))
             return
-        self.over(keep=self.response.keeps_alive)
+        self.failing = False
+        self.over(keep=response.keeps_alive)
         self.node.feed(Told(told))
 
-    def _fail(self, why: str) -> None:
-        if self.asked is not None:
-            self.over(keep=False)
-            _log.warning("call failed", extra={"fields": {"why": why}})
-            self.node.feed(ListFailed())
+    def failed(self, why: str) -> None:
+        """Whatever was wrong, a call fails once, and its connection goes with it."""
+        if self.asked is None:
+            self._close()
+            return
+        silent = why == "no answer" and self.asked.hold > 0
+        self.over(keep=False)
+        (_log.debug if self.failing else _log.warning)("call failed", extra={"fields": {"why": why}})
+        self.failing = True
+        self.node.feed(ListFailed(silent))
 
     def over(self, keep: bool) -> None:
         """No call is out any more."""
@@ -87,13 +107,47 @@
     def _close(self) -> None:
         if self.task is not None:
             self.task.cancel()
-        transport, self.transport = self.transport, None
-        self.response = listing.Response()
-        if transport is not None:
-            transport.abort()
+        link, self.link = self.link, None
+        if link is not None:
+            link.close()
 
-    def connection_lost(self, exc: Exception | None) -> None:
+
+class DiscoveryLink(asyncio.Protocol):
+    """One connection. Once its owner has let go of it, nothing that still happens to it counts."""
+
+    __slots__ = ("owner", "response", "transport")
+
+    def __init__(self, owner: DiscoverySide) -> None:
+        self.owner, self.response = owner, listing.Response()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        if self.owner.link is self:
+            self.owner.up(self)
+        else:
+            self.transport.abort()  # a dial that was given up, and came up all the same
+
+    def send(self, request: bytes) -> None:
+        """Before it is up nothing goes out: `up` does so then."""
+        if self.transport is not None:
+            self.transport.write(request)
+
+    def data_received(self, data: bytes) -> None:
+        if self.owner.link is not self:
+            return
+        try:
+            self.response.feed(data)
+        except Malformed as fault:
+            self.owner.failed(str(fault))
+            return
+        if self.response.take_done():
+            self.owner.answered(self)
+
+    def close(self) -> None:
         if self.transport is not None:
-            self.transport = None
-            self.response = listing.Response()
-            self._fail("connection ended")
+            self.transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self.owner.link is self:
+            self.owner.failed("connection ended")
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -15,7 +15,7 @@
 import uvloop
 
 from pointgw.net.memory import effects as fx
-from pointgw.net.memory.events import Arrived, Event, Left, Reloaded, Stopping, Tick
+from pointgw.net.memory.events import Arrived, Event, Left, ListFailed, Reloaded, Stopping, Tick, Told
 from pointgw.net.memory.reducer import Reducer
 from pointgw.net.run import ends
 from pointgw.net.run.client import ClientSide
@@ -78,6 +78,7 @@
         self.feeding = False
         self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
+        self.heard: asyncio.Future[None] = loop.create_future()  # by discovery, or that it says nothing
         self.ended: asyncio.Future[None] = loop.create_future()
 
     def _reducer(self, policy: type[Balancer]) -> Reducer:
@@ -124,11 +125,13 @@
 
     async def serve(self) -> None:
         host, port = self.start.listen
-        listener = await self.loop.create_server(lambda: ClientSide(self), host, port, backlog=BACKLOG)
         for name in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(name, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._carry_out(self.reducer.given())
+        if self.reducer.pushed:  # rule 3: what the agent has counts as told from the first moment
+            await self.heard
+        listener = await self.loop.create_server(lambda: ClientSide(self), host, port, backlog=BACKLOG)
         self._look()
         self._report()
         about = {"name": self.start.name, "on": f"{host}:{port}", "descriptors": self.allowed}
@@ -195,6 +198,8 @@
             if isinstance(event, Arrived) and not any(isinstance(e, fx.Connect | fx.Reply) for e in effects):
                 effects.append(fx.Reply(event.client, Failure()))
                 self.queue.append(Left(event.client, False))
+        if isinstance(event, Told | ListFailed) and not self.heard.done():
+            self.heard.set_result(None)
         if _trace.isEnabledFor(logging.DEBUG):
             _trace.debug("step", extra={"fields": {"took": event, "asks": effects}})
         self._carry_out(effects)
--- a/pointgw/net/wire/start.py
+++ b/pointgw/net/wire/start.py
@@ -27,6 +27,7 @@
     number: int = -1  # among the balancers; -1: not told
     peers: tuple[tuple[str, int], ...] = ()  # all balancers', by number; none: the platform bars talk
     peer_listen: tuple[str, int] | None = None
+    stop_sending: float = 0.1  # after a telling, how long a server may still be sent something
 
 
 def flat(value: Any, path: str = "") -> Fields:
@@ -69,8 +70,9 @@
             number=int(settings.get("me", -1)),
             peers=tuple(_address(peer) for peer in told.get("peers") or ()),
             peer_listen=_address(told["peer_listen"]) if told.get("peer_listen") else None,
+            stop_sending=seconds(fields, "rules.stopSendingWithin", 0.1),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as fault:
         raise Malformed(f"expected the start-up JSON: {type(fault).__name__} {fault}") from None
 
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -229,3 +229,22 @@
     got = [e for i in range(60) for e in red.take(ev.Stopping(), 100.0 + i * 0.1)]
     assert [e for e in got if isinstance(e, fx.Drop | fx.Reply)] == [fx.Drop(1, 0), fx.Reply(1, Decline(0.0))]
     assert red.clients == {} and any(isinstance(e, fx.Exit) for e in got)
+
+
+def test_a_pushed_list_is_watched_from_the_start_and_asked_again_within_the_grace_of_a_telling() -> None:
+    # Guards rule 3: what the agent has counts as told at once, whether or not a watch is open.
+    lines = tuple(Listed(f"s{i}", "active", 0, i, 0, 0.0, 1.0) for i in range(2))
+    known = Listing(7, True, lines, tuple((f"s{i}", "127.0.0.9", 9000 + i) for i in range(2)))
+    told = Start(
+        "n0", ("127.0.0.1", 1), ("127.0.0.1", 2), 5, site(may_probe=False, asks=False),
+        Names(("a",), ("k",)), ("chat",), ("acme",), 0.12, 256, known, stop_sending=0.4,
+    )  # fmt: skip
+    red = Reducer(told, 100.0)
+    assert fx.Ask(7, 0.0) in red.given()
+    for _ in range(5):
+        asks = [e for e in red.take(ev.ListFailed(), 101.0) if isinstance(e, fx.Ask)]
+        assert len(asks) == 1 and asks[0].after < 0.4
+    listing = Listing(8, False, (lines[0]._replace(state="leaving"),), ())
+    assert any(isinstance(e, fx.Ask) and e.hold > 0 for e in red.take(ev.Told(listing), 102.0))
+    (connect,) = [e for e in arrive(red, now=102.0) if isinstance(e, fx.Connect)]
+    assert connect.address == ("127.0.0.9", 9001)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pointgw.net.wire import lines
-from pointgw.net.wire.listing import LARGEST, Names, Response, body, request
+from pointgw.net.wire.listing import LARGEST, LONGEST_HEAD, Names, Response, body, request
 from pointgw.net.wire.start import flat, start
 from pointgw.site import Malformed
 
@@ -130,14 +130,39 @@
     response = Response()
     for byte in b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}":
         response.feed(bytes([byte]))
-    assert response.done and response.status == 200 and response.data == b"{}"
+    assert response.take_done() and response.status == 200 and response.data == b"{}"
     response.feed(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
-    assert response.status == 503
+    assert response.status == 503 and response.take_done() and not response.take_done()
     with pytest.raises(Malformed):
         response.feed(b"nonsense\r\n\r\n")
     # Guards the memory limit against an answer without end.
     with pytest.raises(Malformed):
         Response().feed(b"HTTP/1.1 200 OK\r\nContent-Length: 9999999\r\n\r\n" + b" " * (LARGEST + 1))
+    # Guards a watch against what nobody asked for: it would be taken for the next call's answer.
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+    with pytest.raises(Malformed):
+        Response().feed(answer + answer)
+    endless = Response()
+    endless.feed(b"HTTP/1.1 200 OK\r\n")
+    with pytest.raises(Malformed):
+        for _ in range(LONGEST_HEAD // 100 + 1):
+            endless.feed(b"X-More: " + b"y" * 100 + b"\r\n")
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        '{"name":"s","status":"up","address":"127.0.0.1:99999"}',
+        '{"name":"s","status":"up","address":"127.0.0.1:0"}',
+        '{"name":"s","status":"up","weight":NaN}',
+        '{"name":"s","status":"up","weight":-1}',
+        '{"name":"s","status":"up","since_ms":1e999}',
+        "[" * 5000,
+    ],
+)
+def test_a_list_out_of_range_is_refused(line: str) -> None:
+    with pytest.raises(Malformed):
+        body(f'{{"index":1,"snapshot":true,"endpoints":[{line}]}}'.encode(), Names((), ()))
 
 
 @pytest.mark.parametrize(
