A request is written when the reducer allows it, and connections end in order, also at a stop

Now a connection that is up is an event (Dialled), the module is asked again (may_write), and what is not written is dropped in any settings. 'd' is what is left at the write. - a bare UP was passed on as served. - An end of the server before the write counted as may-have-run. - a stop that came late left open tunnels unmoved and others unanswered (_stopping, left <= 0); connections that rest, or wait in the accept backlog, were reset; finish() cut a slow reader's last lines after 0.25 s. - SIGTERM as the listener stood killed the process; SIGHUP killed it while it loaded, and was lost after the file was read. - a decision that faulted left a client unanswered, and lines went to one that was not joined. - discovery's connection was never kept: httptools tells keep-alive in on_message_complete alone (now 1 dial, not 1 a call). Refuted by tests that pass on both builds: an answer there as the clock runs out; a second answer after BUSY or ERR; SIGTERM twice; a moved client back within the stop; a hung setup at the stop's end.

--- a/pointgw/__main__.py
+++ b/pointgw/__main__.py
@@ -6,6 +6,8 @@
 import sys
 from collections.abc import Sequence
 
+from pointgw import early
+
 
 def main(arguments: Sequence[str] = ()) -> int:
     if arguments:
@@ -16,6 +18,7 @@
     if not path:
         print("pointgw: expected GW_CONFIG to name the start-up file (pointgw --help)", file=sys.stderr)
         return 2
+    early.begin()
     from pointgw.net.run.daemon import daemon
 
     return daemon(path, os.environ.get("GW_OPERATOR"))
--- a/pointgw/net/memory/effects.py
+++ b/pointgw/net/memory/effects.py
@@ -12,7 +12,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Connect:
-    """Sets a tunnel up: a new connection, its first line, and the answer within a time."""
+    """Sets a tunnel up: dials a new connection. Its request is written once `Write` asks for it."""
 
     client: int
     setup: int
@@ -24,6 +24,14 @@
     after: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Write:
+    """The request of a setup whose connection is up."""
+
+    client: int
+    setup: int
+
+
 @dataclass(frozen=True, slots=True)
 class Drop:
     """Gives up a setup, or ends an open tunnel at its server."""
@@ -104,9 +112,20 @@
     delay: float
 
 
+@dataclass(frozen=True, slots=True)
+class EndResting:
+    """Ends the clients' connections on which nothing was asked for: this balancer stops."""
+
+
 @dataclass(frozen=True, slots=True)
 class Exit:
-    """Nothing is left to do."""
+    """All tunnels are over: no connection is taken any more, and the process ends once those that are left
+    have ended, or after a time."""
+
+    within: float
 
 
-Effect = Connect | Drop | Reply | Join | End | Move | Probe | Turn | Ask | Wake | StopIn | Exit
+Effect = (
+    Connect | Write | Drop | Reply | Join | End | Move | Probe | Turn | Ask | Wake | StopIn | EndResting
+    | Exit
+)  # fmt: skip
--- a/pointgw/net/memory/events.py
+++ b/pointgw/net/memory/events.py
@@ -25,6 +25,14 @@
     reset: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Dialled:
+    """The connection of a setup is up, and nothing was written to it."""
+
+    client: int
+    setup: int
+
+
 @dataclass(frozen=True, slots=True)
 class Opened:
     """A server has taken a tunnel."""
@@ -100,5 +108,6 @@
 
 
 Event = (
-    Arrived | Left | Opened | Ended | Weighed | Slow | Probed | Told | ListFailed | Reloaded | Tick | Stopping
+    Arrived | Left | Dialled | Opened | Ended | Weighed | Slow | Probed | Told | ListFailed | Reloaded | Tick
+    | Stopping
 )  # fmt: skip
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -16,6 +16,7 @@
 from pointgw.net.memory import effects as fx
 from pointgw.net.memory.events import (
     Arrived,
+    Dialled,
     Ended,
     Event,
     Left,
@@ -88,6 +89,7 @@
         self.now = now
         self.stop_at = inf  # when the signal to stop came
         self.moved_at = -inf  # when tunnels were last moved off since
+        self.exiting = False  # the last of it was asked for
         self.profiles = {name: i for i, name in enumerate(start.profiles)}
         self.tenants = {name: i for i, name in enumerate(start.tenants)}
         self.connect_within = start.connect_within
@@ -113,6 +115,8 @@
                 self._arrived(event)
             case Left():
                 self._left(event)
+            case Dialled():
+                self._dialled(event)
             case Opened():
                 self._opened(event)
             case Ended():
@@ -163,7 +167,7 @@
         if profile is None or taken or (opening.at and opening.at not in self.balancer.servers):
             self.effects.append(fx.Reply(event.client, Failure()))
             return
-        if now >= self.stop_at + ARRIVE_ON:
+        if now >= self.stop_at + ARRIVE_ON or self.exiting:
             self.effects.append(fx.Reply(event.client, Decline(0.0)))
             return
         patience = opening.patience
@@ -197,7 +201,7 @@
         client.answered = True
         tun = client.tun
         was_open = tun.state is State.OPEN
-        self.balancer.left(tun, self.now)
+        self._give_up(tun)
         if client.standing is not None:
             self.effects.append(fx.Drop(client.number, 0, event.reset))
             client.standing = None
@@ -207,6 +211,14 @@
             self.later.append((tun, number, "cancelled"))
         self._forget_done(client)
 
+    def _give_up(self, tun: Tunnel) -> None:
+        """Ends a tunnel for the module. What is not written yet is dropped, whatever the settings let one
+        cancel: no server has heard of it."""
+        self.balancer.left(tun, self.now)
+        for number, setup in enumerate(() if self.balancer.may_call_off else tun.setups):
+            if setup.out and not setup.began and not setup.may_have_run:
+                self.call_off(tun, number)
+
     def _forget_done(self, client: Client) -> None:
         if client.tun.done and client.standing is None:
             must(client.answered, "a tunnel ends with a final answer")
@@ -216,6 +228,21 @@
 
     # Setups.
 
+    def _dialled(self, event: Dialled) -> None:
+        """What was decided before the dial is looked at again: the client, the list and the clock went on."""
+        client = self.clients.get(event.client)
+        if client is not None and client.standing is None:
+            tun, number = client.tun, event.setup
+            if not self.balancer.may_write(tun, number, self.now):
+                self.effects.append(fx.Drop(event.client, number))
+                if tun.setups[number].out:
+                    self._over(tun, number, "moot", False, {})
+                return
+        elif client is None:
+            self.effects.append(fx.Drop(event.client, event.setup))
+            return
+        self.effects.append(fx.Write(event.client, event.setup))
+
     def _opened(self, event: Opened) -> None:
         client = self.clients.get(event.client)
         if client is None:
@@ -306,29 +333,39 @@
         self.balancer.tick(self.now)
 
     def _stopping(self) -> None:
-        """Moves all tunnels off, a few at a time, once no new connections come; then answers the rest."""
+        """Moves all tunnels off, a few at a time, once no new connections come; then answers the rest.
+        However late it is called, the last round is not left out."""
         self.stop_at = min(self.stop_at, self.now)
         left = self.stop_at + self.stop_within - self.now
-        quiet = self.now >= max(self.stop_at + ARRIVE_ON, self.moved_at) + LAST
-        if left <= 0 or (quiet and not self.clients):
-            self.effects.append(fx.Exit())
+        rounds = max(1, int((left - LAST) / STEP))
+        if self.exiting:
+            return
+        if self.now < self.stop_at + ARRIVE_ON and rounds > 1:
+            self.effects.append(fx.StopIn(STEP))
             return
-        if self.now >= self.stop_at + ARRIVE_ON:
-            rounds = max(1, int((left - LAST) / STEP))
-            standing = [c for c in self.clients.values() if c.tun.state is State.OPEN]
-            for client in standing[: ceil(len(standing) / rounds)]:
-                self.balancer.left(client.tun, self.now)
-                self.move(client.tun)
-                self.moved_at = self.now
-            if rounds == 1:
-                for client in [c for c in self.clients.values() if c.tun.state is not State.OPEN]:
-                    self._turn_away(client)
-        self.effects.append(fx.StopIn(STEP))
+        self.effects.append(fx.EndResting())
+        standing = [c for c in self.clients.values() if c.tun.state is State.OPEN]
+        for client in standing[: ceil(len(standing) / rounds)]:
+            self.balancer.left(client.tun, self.now)
+            self.move(client.tun)
+            self.moved_at = self.now
+        if rounds == 1:
+            for client in [c for c in self.clients.values() if c.tun.state is not State.OPEN]:
+                self._turn_away(client)
+        quiet = self.now >= max(self.stop_at + ARRIVE_ON, self.moved_at) + LAST
+        if rounds == 1 or (quiet and all(c.tun.state is State.ENDED for c in self.clients.values())):
+            self.exiting = True
+            self.effects.append(fx.Exit(max(left, 0.0)))
+        else:
+            self.effects.append(fx.StopIn(STEP))
 
     def _turn_away(self, client: Client) -> None:
         """The final answer of a tunnel that this balancer has no time left for."""
         harmless = self.balancer.may_decline(client.tun)
-        self.balancer.left(client.tun, self.now)
+        if client.standing is not None:
+            client.standing = None
+            self.effects.append(fx.Drop(client.number, 0))
+        self._give_up(client.tun)
         if not client.answered:
             self._answer(client, Decline(0.0) if harmless else Failure())
 
@@ -336,6 +373,7 @@
 
     def setup(self, tun: Tunnel, ep: Server, patience: float) -> None:
         client, number, address = self.of[tun], len(tun.setups) - 1, self.addresses[ep.name]
+        tun.setups[number].may_have_run = False  # until it is written: `may_write`
         within = min(self.connect_within, patience)
         self.effects.append(
             fx.Connect(client.number, number, address, client.opening, patience, patience, within)
@@ -343,7 +381,7 @@
 
     def call_off(self, tun: Tunnel, number: int) -> None:
         self.effects.append(fx.Drop(self.of[tun].number, number))
-        self.later.append((tun, number, "cancelled"))
+        self.later.append((tun, number, "cancelled" if tun.setups[number].may_have_run else "moot"))
 
     def decline(self, tun: Tunnel, come_back: float) -> None:
         if self.on_declined is not None:
--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -7,6 +7,7 @@
 
 from pointgw.net.memory.events import Arrived, Left
 from pointgw.net.run import ends
+from pointgw.net.run.life import Life, Stage
 from pointgw.net.wire import lines
 from pointgw.site import Malformed
 
@@ -16,15 +17,14 @@
 
 
 class ClientSide(asyncio.Protocol):
-    __slots__ = ("buffer", "came", "node", "number", "over", "server", "spilt", "transport")
+    __slots__ = ("buffer", "came", "life", "node", "number", "server", "transport")
 
     def __init__(self, node: Node) -> None:
         self.node, self.came = node, node.now()
         self.number = -1  # not given yet: no tunnel was asked for
-        self.spilt = 0  # bytes that came after the last answer
+        self.life = Life(Stage.RESTING)
         self.buffer = bytearray()
         self.server: ServerSide | None = None
-        self.over = False  # nothing is said to it any more
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -32,19 +32,19 @@
         self.node.came(self)
 
     def data_received(self, data: bytes) -> None:
-        if self.server is not None:
-            self.server.pass_on(data)
-        elif self.over:
-            self.spilt += len(data)
-            if self.spilt > ends.FULL_BUFFER:
-                ends.pause(self.transport)  # guards against a flood that is read for nothing
-        else:
-            self.buffer += data
-            self._first_line()
+        match self.life.stage:
+            case Stage.JOINED:
+                assert self.server is not None
+                self.server.pass_on(data)
+            case Stage.RESTING | Stage.ASKED:
+                self.buffer += data
+                self._first_line()
+            case Stage.HALF_CLOSED:  # sent on, it would be lost: its answer could not be told
+                self.node.door.dropped(self, len(data))
 
     def _first_line(self) -> None:
         try:
-            if self.number >= 0:
+            if self.life.stage is Stage.ASKED:
                 raise Malformed("expected nothing before the answer")
             line = lines.cut(self.buffer)
             if line is None:
@@ -55,6 +55,7 @@
             if isinstance(message, lines.Ping):
                 self.transport.write((lines.ERR if self.node.stopping else lines.PONG) + lines.END)
             else:
+                self.life.to(Stage.ASKED)
                 self.number = self.node.number(self)
                 self.node.feed(Arrived(self.number, message))
         except Malformed as fault:
@@ -63,35 +64,62 @@
     def refuse(self, kind: str, why: object) -> None:
         """Answers what can't be served with an error; a setup that is out is given up."""
         self.node.refused(kind, why)
-        if self.number >= 0:
+        if self.life.stage is Stage.ASKED:
             self.node.feed(Left(self.number, False))
         self.answer(lines.Failure())
 
     def answer(self, answer: lines.Answer) -> None:
         """The final answer to a client that was not opened."""
-        self._last(lines.answer_line(answer))
-
-    def join(self, server: ServerSide, first: bytes) -> None:
-        self.transport.write(first)
+        if self.life.stage in (Stage.RESTING, Stage.ASKED):
+            self._last(lines.answer_line(answer))
+
+    def join(self, server: ServerSide, first: bytes) -> bool:
+        """The server's answer, and from now on its lines; False: the client has left or was answered."""
+        if self.life.stage is not Stage.ASKED:
+            return False
+        self.life.to(Stage.JOINED)
         self.server = server
+        self.transport.write(first)
+        return True
+
+    def pass_back(self, whole: bytes) -> None:
+        """Whole lines of its server."""
+        if self.life.stage is Stage.JOINED:
+            self.transport.write(whole)
 
     def move(self) -> None:
         """Only whole lines were written, so this stands between two."""
-        self._last(lines.MOVE + lines.END)
+        if self.life.stage is Stage.JOINED:
+            self._last(lines.MOVE + lines.END)
 
     def _last(self, line: bytes) -> None:
-        if not self.over:
-            self.transport.write(line)
-            self.end()
+        self.transport.write(line)
+        self.end()
 
     def end(self, reset: bool = False) -> None:
-        if self.over:
+        """In the way its server did, or after its last line."""
+        if self.life.over:
             return
-        self.over, self.server = True, None
+        self.server = None
         if reset:
+            self.life.to(Stage.ENDED)
             ends.reset(self.transport)
         else:
-            ends.finish(self.transport)
+            self.life.to(Stage.HALF_CLOSED)
+            self.node.door.farewell(self, self.transport)
+
+    def fail(self) -> None:
+        """Something of ours went wrong: an error to one that waits, a break to one that is open."""
+        if self.life.stage is Stage.JOINED:
+            self.end(reset=True)
+        else:
+            self.answer(lines.Failure())
+
+    def make_room(self) -> None:
+        """Its descriptor is needed for clients that do speak."""
+        if not self.life.over:
+            self.life.to(Stage.ENDED)
+            ends.close(self.transport, lines.answer_line(lines.Decline(0.0)))
 
     def pause_writing(self) -> None:
         if self.server is not None:
@@ -102,16 +130,21 @@
             self.server.go_on()
 
     def eof_received(self) -> None:
-        if self.number < 0 and self.buffer and not self.over:
+        if self.life.stage is Stage.RESTING and self.buffer:
             self.refuse("malformed", "expected the end of the first line")
         self._gone(False)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._gone(exc is not None)
+        if self.life.stage is Stage.HALF_CLOSED:
+            self.life.to(Stage.ENDED)
         self.node.forget(self)
 
     def _gone(self, reset: bool) -> None:
-        if not self.over:
-            self.over, self.server = True, None
-            if self.number >= 0:
+        """The client has ended it. What it asked for and is not sent yet is not sent any more."""
+        if not self.life.over:
+            asked = self.life.stage is not Stage.RESTING
+            self.life.to(Stage.ENDED)
+            self.server = None
+            if asked:
                 self.node.feed(Left(self.number, reset))
--- a/pointgw/net/run/daemon.py
+++ b/pointgw/net/run/daemon.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
 from pathlib import Path
 
+from pointgw import early
 from pointgw.net.run import log
 from pointgw.net.run.node import run
 from pointgw.net.wire.start import Start, start
@@ -24,7 +24,7 @@
     def read() -> Start:
         return start(Path(config).read_bytes())
 
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is served: the file is read here anyway
+    early.begin()
     try:
         told = read()
     except (OSError, Malformed) as fault:
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from pointgw.net.run.node import Node
 
-# Seconds after the wait of a call from which what it had to tell counts as told, by the operators' page ("2 s after
-# that wait is over"). Half of it may go until the call is given up; the other half is the next one's.
+# Seconds after the wait of a call from which what it had to tell counts as told, as the operators say ("2 s
+# after that wait is over"). Half of it may go until the call is given up; the other half is the next one's.
 TOLD_AFTER = 2.0
 SPARE = TOLD_AFTER / 2
 ANSWER = 1.5  # seconds for an answer that does not wait: discovery works through calls in turn
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -14,16 +14,29 @@
 
 import uvloop
 
+from pointgw import early
 from pointgw.net.memory import effects as fx
-from pointgw.net.memory.events import Arrived, Event, Left, ListFailed, Reloaded, Stopping, Tick, Told
+from pointgw.net.memory.events import (
+    Arrived,
+    Dialled,
+    Ended,
+    Event,
+    Left,
+    ListFailed,
+    Opened,
+    Reloaded,
+    Stopping,
+    Tick,
+    Told,
+)
 from pointgw.net.memory.reducer import Reducer
 from pointgw.net.run import ends
 from pointgw.net.run.client import ClientSide
 from pointgw.net.run.discovery import DiscoverySide
+from pointgw.net.run.door import Door
 from pointgw.net.run.probe import ProbeSide
 from pointgw.net.run.server import ServerSide
 from pointgw.net.sure import broken
-from pointgw.net.wire.lines import Failure
 from pointgw.net.wire.start import Start
 from pointgw.policy import Balancer
 from pointgw.site import Malformed
@@ -34,13 +47,13 @@
     from pointgw.net.run.remembering import Remembering
     from pointgw.net.run.tiering import Tiering
 
-BACKLOG = 1024  # clients that may come at once
 LOOK = 0.25  # seconds between two looks for connections that bring nothing back
 REPORT = 10.0  # seconds between two lines of the log on how things stand
 FIRST_LINE = 0.5  # of the longest client timeout: how long a client may say nothing that can be used
 SPARE = 1 / 8  # of the descriptors that are kept free of clients that say nothing
 OWN_FILES = 16  # descriptors of the process itself
 LEAST = 0.001  # seconds: what the loop's clock can tell apart
+LEAVE = 0.01  # seconds between two looks whether the last connections have ended
 LOGGED = 10  # faults of a kind that are logged with a traceback
 
 _log = logging.getLogger("pointgw.node")
@@ -67,7 +80,7 @@
         self.first_within = FIRST_LINE * self.reducer.longest
         self.allowed = _allowed(start.descriptors)
         self.descriptors = int(self.allowed * (1 - SPARE)) - OWN_FILES
-        self.quiet: dict[ClientSide, None] = {}  # those that have asked for no tunnel, oldest first
+        self.door = Door(loop, self.reducer.longest)
         self.turned_away: Counter[str] = Counter()
         self.clients: dict[int, ClientSide] = {}
         self.servers: dict[tuple[int, int], ServerSide] = {}
@@ -97,44 +110,40 @@
 
     def number(self, side: ClientSide) -> int:
         number = next(self.numbers)
-        self.quiet.pop(side, None)
+        self.door.asked(side)
         self.clients[number] = side
         return number
 
     def came(self, side: ClientSide) -> None:
-        """Guards against clients that hold descriptors and say nothing: the oldest make room for others.
-
-        One whose line has come but was not read yet stays.
-        """
-        self.quiet[side] = None
-        held = len(self.quiet) + len(self.clients) + len(self.servers) + len(self.probes)
-        if held > self.descriptors:
-            oldest = next((s for s in self.quiet if not ends.unread(s.transport)), None)
-            if oldest is not None:
-                del self.quiet[oldest]
-                self.refused("no descriptors", "others need its descriptor")
-                oldest.transport.abort()
+        """Guards against clients that hold descriptors and say nothing: the oldest make room for others."""
+        self.door.came(side)
+        door = len(self.door.resting) + len(self.door.farewells)
+        held = door + len(self.clients) + len(self.servers) + len(self.probes)
+        if held > self.descriptors and self.door.make_room() is not None:
+            self.refused("no descriptors", "others need its descriptor")
 
     def refused(self, kind: str, why: object) -> None:
         self.turned_away[kind] += 1
         _log.debug("refused", extra={"fields": {"kind": kind, "why": why}})
 
     def forget(self, side: ClientSide) -> None:
-        self.quiet.pop(side, None)
+        self.door.gone(side)
         self.clients.pop(side.number, None)
 
     async def serve(self) -> None:
-        host, port = self.start.listen
         for name in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(name, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self._carry_out(self.reducer.given())
+        if early.noted():  # it came after the file was read, or may have
+            self.reload()
         if self.reducer.pushed:  # rule 3: what the agent has counts as told from the first moment
             await self.heard
-        listener = await self.loop.create_server(lambda: ClientSide(self), host, port, backlog=BACKLOG)
+        await self.door.open(self.start.listen, lambda: ClientSide(self))
         self._look()
         self._report()
-        about = {"name": self.start.name, "on": f"{host}:{port}", "descriptors": self.allowed}
+        on = ":".join(str(part) for part in self.start.listen)
+        about = {"name": self.start.name, "on": on, "descriptors": self.allowed}
         _log.info("serving", extra={"fields": about})
         if self.remembering is not None:
             self.remembering.keep(self.reducer, self.loop)
@@ -144,7 +153,7 @@
             voice = self.tiering.voice if self.tiering is not None else None
             await self.recovering.speak(self.reducer, self.loop, self.now, self.start.seed, voice)
         await self.ended
-        listener.close()
+        self.door.close()
         if self.tiering is not None:
             self.tiering.stop()
         if self.recovering is not None:
@@ -152,6 +161,15 @@
         if self.remembering is not None:
             await self.remembering.stop()
 
+    def _leave(self, until: float) -> None:
+        """The last steps: ends once all clients' connections have ended, or when the time is over."""
+        over = self.loop.time() >= until
+        if (self.door.empty(self.now(), over) and not self.clients) or over:
+            if not self.ended.done():
+                self.ended.set_result(None)
+        else:
+            self.loop.call_later(LEAVE, self._leave, until)
+
     def stop(self) -> None:
         if not self.stopping:
             self.stopping = True
@@ -194,9 +212,11 @@
         except Exception:
             self._fault("an event is taken", event)
             effects = self.reducer.given()
-            # Guards rule 1: whatever went wrong, the client gets an answer.
-            if isinstance(event, Arrived) and not any(isinstance(e, fx.Connect | fx.Reply) for e in effects):
-                effects.append(fx.Reply(event.client, Failure()))
+            # Guards rule 1: whatever went wrong, the client gets an answer, and what was begun for it ends.
+            if isinstance(event, Arrived | Dialled | Opened | Ended) and event.client in self.clients:
+                self._carry_out(effects)
+                self.clients[event.client].fail()
+                effects = [fx.Drop(event.client, setup) for c, setup in self.servers if c == event.client]
                 self.queue.append(Left(event.client, False))
         if isinstance(event, Told | ListFailed) and not self.heard.done():
             self.heard.set_result(None)
@@ -222,12 +242,18 @@
                 side = self.clients.get(effect.client)
                 if side is not None:
                     self.servers[effect.client, effect.setup] = ServerSide(self, effect, side)
+            case fx.Write():
+                server = self.servers.get((effect.client, effect.setup))
+                if server is not None:
+                    server.write()
             case fx.Drop():
                 server = self.servers.get((effect.client, effect.setup))
                 if server is not None:
                     server.drop(effect.reset)
             case fx.Join():
-                self.servers[effect.client, effect.setup].join()
+                server = self.servers.get((effect.client, effect.setup))
+                if server is not None:
+                    server.join()
             case fx.Reply():
                 if effect.client in self.clients:
                     self.clients[effect.client].answer(effect.answer)
@@ -255,16 +281,18 @@
                 self.timer = self.loop.call_later(max(effect.delay, LEAST), self.feed, Tick())
             case fx.StopIn():
                 self.loop.call_later(effect.delay, self.feed, Stopping())
+            case fx.EndResting():
+                self.door.end_resting(self.now())
             case fx.Exit():
-                if not self.ended.done():
-                    self.ended.set_result(None)
+                self._leave(self.loop.time() + effect.within)
 
     def _look(self) -> None:
         now = self.now()
         for server in list(self.servers.values()):
             server.look(now)
-        for side in list(self.quiet):
-            if now - side.came > self.first_within and not side.over:
+        for side in list(self.door.resting):
+            # One whose line has come and was not read yet is not silent.
+            if now - side.came > self.first_within and not ends.unread(side.transport):
                 side.refuse("silent", "expected a first line in time")
         self.loop.call_later(LOOK, self._look)
 
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -7,9 +7,10 @@
 
 from pointgw.interface import Ending
 from pointgw.net.memory.effects import Connect
-from pointgw.net.memory.events import Ended, Opened, Slow, Weighed
+from pointgw.net.memory.events import Dialled, Ended, Opened, Slow, Weighed
 from pointgw.net.run import ends
 from pointgw.net.run.client import ClientSide
+from pointgw.net.run.life import Life, Stage
 from pointgw.net.wire import lines
 from pointgw.site import Malformed
 
@@ -18,40 +19,59 @@
 
 
 class ServerSide(asyncio.Protocol):
+    """One setup on a connection of its own. Its request is written by `write` alone, which the reducer asks
+    for once the connection is up; until then nothing was sent, and it can be dropped at any time.
+    """
+
     __slots__ = (
-        "asked", "buffer", "client", "closing", "node", "over", "task", "timer", "transport", "up",
+        "asked", "buffer", "client", "closing", "life", "node", "task", "timer", "transport", "until", "up",
         "waits_since",
     )  # fmt: skip
 
     def __init__(self, node: Node, asked: Connect, client: ClientSide) -> None:
         self.node, self.asked, self.client = node, asked, client
+        self.life = Life(Stage.DIALLING)
         self.buffer = bytearray()  # what came after the last whole line
         self.closing: lines.Closing | None = None  # how the server said that it ends
         self.transport: asyncio.Transport | None = None
         self.up: lines.Up | None = None
-        self.over = False
         self.waits_since: float | None = None  # since when the client's lines have brought nothing back
-        self.timer = node.loop.call_later(asked.after + asked.within, self._late)
+        self.until = node.loop.time() + asked.after + asked.within
+        dialled = asked.after + min(asked.connect_within, asked.within)
+        self.timer = node.loop.call_later(dialled, self._late)
         self.task = node.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
         try:
-            await asyncio.sleep(self.asked.after)
-            async with asyncio.timeout(self.asked.connect_within):
-                await self.node.loop.create_connection(lambda: self, *self.asked.address)
-        except (OSError, TimeoutError) as fault:
-            self._end(ends.no_connection(fault))
+            if self.asked.after:
+                await asyncio.sleep(self.asked.after)
+            await self.node.loop.create_connection(lambda: self, *self.asked.address)
+        except OSError as fault:
+            if self.life.stage is Stage.DIALLING:
+                self._end(ends.no_connection(fault))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        if self.over:
-            self.transport.abort()
+        if self.life.stage is not Stage.DIALLING:
+            self.transport.abort()  # given up while it came up
             return
         self.transport.set_write_buffer_limits(ends.FULL_BUFFER)
-        self.transport.write(lines.opening_line(self.asked.opening, self.asked.patience))
+        self.node.feed(Dialled(self.asked.client, self.asked.setup))
+
+    def write(self) -> None:
+        """The request. Its `d` is what is left now of the time that this balancer waits."""
+        if self.life.stage is not Stage.DIALLING or self.transport is None:
+            return
+        left = self.until - self.node.loop.time()
+        self.timer.cancel()
+        self.timer = self.node.loop.call_later(left, self._late)
+        self.life.to(Stage.WRITTEN)
+        told = None if self.asked.patience is None else left
+        self.transport.write(lines.opening_line(self.asked.opening, told))
 
     def data_received(self, data: bytes) -> None:
-        if self.over:
+        if self.life.over:
+            self.node.door.dropped(self, len(data))
             return
         self.buffer += data
         if self.up is None:
@@ -59,23 +79,26 @@
                 self._first_line()
             except Malformed:
                 self._end("error")
-        if self.up is not None and not self.over:
+        if self.life.stage is Stage.JOINED:
             self._lines()
+        elif len(self.buffer) > ends.FULL_BUFFER:  # guards memory where its client was not joined
+            self._end(self.life.broken())
 
     def _first_line(self) -> None:
-        while self.up is None and not self.over:
+        while self.up is None and not self.life.over:
             line = lines.cut(self.buffer)
             if line is None:
                 return
             message = lines.server_line(line)
-            if isinstance(message, lines.Up):
+            if isinstance(message, lines.Up) and self.life.stage is Stage.WRITTEN:
                 self.up = message
                 self.timer.cancel()
+                self.life.to(Stage.ANSWERED)
                 self.node.feed(Opened(self.asked.client, self.asked.setup))
             elif isinstance(message, lines.Closing):
                 self.closing = message
                 self._end(message.ending)
-            elif message is None:
+            elif not isinstance(message, lines.Load):
                 self._end("error")
 
     def _lines(self) -> None:
@@ -98,15 +121,16 @@
                     self.node.feed(Weighed(self.asked.client, message))
                 elif isinstance(message, lines.Closing) and message.ending in ("ok", "cancelled"):
                     self.closing = message
-        if not self.over:
-            self.client.transport.write(whole)
+        if self.life.stage is Stage.JOINED:
+            self.client.pass_back(whole)
 
     def join(self) -> None:
         assert self.up is not None
-        self.client.join(self, self.up.line)
+        if self.client.join(self, self.up.line):
+            self.life.to(Stage.JOINED)
 
     def pass_on(self, data: bytes) -> None:
-        if self.transport is not None and not self.over:
+        if self.transport is not None and self.life.stage is Stage.JOINED:
             self.transport.write(data)
             if self.waits_since is None:
                 self.waits_since = self.node.now()
@@ -126,44 +150,55 @@
 
     def drop(self, reset: bool) -> None:
         """Given up, or its client has gone."""
-        self._stop()
-        if self.transport is not None:
-            if reset:
-                ends.reset(self.transport)
-            elif self.up is None:
-                self.transport.abort()
-            else:
-                ends.finish(self.transport)
-
-    def _stop(self) -> None:
-        self.over = True
+        if self.life.over:
+            return
+        joined = self.life.stage is Stage.JOINED
+        self._leave(Stage.HALF_CLOSED if joined and not reset else Stage.ENDED)
+        if self.transport is None:
+            return
+        if reset:
+            ends.reset(self.transport)
+        elif joined:
+            self.node.door.farewell(self, self.transport)
+        else:
+            self.transport.abort()
+
+    def _leave(self, stage: Stage) -> None:
+        self.life.to(stage)
         self.timer.cancel()
         if self.transport is None:
             self.task.cancel()
         self.node.servers.pop((self.asked.client, self.asked.setup), None)
 
     def _late(self) -> None:
-        self._end("no-connection" if self.transport is None else "timeout")
+        self._end(self.life.late())
 
     def _end(self, ending: Ending, reset: bool = False) -> None:
-        if self.over:
+        if self.life.over:
             return
         closing = self.closing or lines.Closing(ending, {})
         if closing.spoilt:
             self.node.refused("bad report", closing.ending)
-        self._stop()
+        self._leave(Stage.ENDED)
         if self.transport is not None:
             self.transport.abort()
+        # One that said how it ends has ended in order, however its connection broke then.
+        reset = reset and self.closing is None
         self.node.feed(Ended(self.asked.client, self.asked.setup, closing, reset))
 
     def pause_writing(self) -> None:
-        ends.pause(self.client.transport)
+        if self.life.stage is Stage.JOINED:
+            ends.pause(self.client.transport)
 
     def resume_writing(self) -> None:
-        ends.resume(self.client.transport)
+        if self.life.stage is Stage.JOINED:
+            ends.resume(self.client.transport)
 
     def eof_received(self) -> None:
-        self._end("reset")  # the line went out with the connection, so it may have run
+        self._end(self.life.broken())
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._end("reset", exc is not None)
+        self._end(self.life.broken(), exc is not None)
+        if self.life.stage is Stage.HALF_CLOSED:
+            self.life.to(Stage.ENDED)
+        self.node.door.gone(self)
--- a/pointgw/net/wire/lines.py
+++ b/pointgw/net/wire/lines.py
@@ -136,9 +136,10 @@
 
 
 def server_line(line: bytes) -> Up | Closing | Load | None:
-    """A line of a server on a tunnel's connection; None: one that is the client's."""
+    """A line of a server on a tunnel's connection; None: one that is the client's, or an `UP` without a
+    receipt, which no server gives."""
     word, _, rest = line.partition(b" ")
-    if word == b"UP":
+    if word == b"UP" and rest.strip():
         return Up(line + END)
     if word == b"LOAD":
         try:
--- a/pointgw/net/wire/listing.py
+++ b/pointgw/net/wire/listing.py
@@ -101,7 +101,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.data = bytearray()
         self.head = 0  # bytes that came since the answer began, until its body
-        self.done = self.in_body = False
+        self.done = self.in_body = self.keeps_alive = False
 
     def feed(self, data: bytes) -> None:
         if not self.in_body:
@@ -129,6 +129,7 @@
 
     def on_message_complete(self) -> None:
         self.done, self.in_body, self.head = True, False, 0
+        self.keeps_alive = self.parser.should_keep_alive()  # told here only: afterwards it is always False
 
     def take_done(self) -> bool:
         done, self.done = self.done, False
@@ -137,7 +138,3 @@
     @property
     def status(self) -> int:
         return self.parser.get_status_code()
-
-    @property
-    def keeps_alive(self) -> bool:
-        return self.parser.should_keep_alive()
--- a/pointgw/net/wire/start.py
+++ b/pointgw/net/wire/start.py
@@ -81,5 +81,8 @@
 
 
 def _address(value: str) -> tuple[str, int]:
-    host, _, port = value.rpartition(":")
-    return host, int(port)
+    host, _, told = value.rpartition(":")
+    port = int(told)
+    if not 0 <= port < 2**16:
+        raise ValueError(f"port {port}")
+    return host, port
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -235,10 +235,9 @@
             changed |= ep.active != was
         for ep in self.servers.values() if not cached else ():  # and what it does not name is as it was
             self.sure(ep, True)
-        for ep in self.servers.values() if whole else ():
-            if ep.active and not ep.listed:
-                ep.active = self._stays(ep)
-                changed |= not ep.active
+        for ep in [e for e in self.servers.values() if whole and e.active and not e.listed]:
+            ep.active = self._stays(ep)
+            changed |= not ep.active
         if changed:
             active = [ep for ep in self.servers.values() if ep.active]
             self.live, self.part = sorted(active, key=lambda ep: (ep.mark, ep.name)), None
@@ -316,10 +315,9 @@
 
     def _reckon(self, ep: Server) -> None:
         """The load that tells whether a server has room: the reported one, with what all balancers are likely
-        to have added since. It has room under FULL. Guards against balancers that fill the same server
-        between two reports, and against overload, where a server drops what it holds, which comes again at
-        once. What ended or was moved off makes no room before a report shows it: its group may stay, and the
-        server would stay full."""
+        to have added since. It has room under FULL. Guards against balancers that fill a server between two
+        reports, and overload, where a server drops what it holds, which comes again at once. What ended or is
+        moved off makes no room before a report shows it: its group may stay, the server stay full."""
         load = self.mean_load if ep.busy is None else ep.full_load
         ep.reckoned = -inf if load is None else load + self._added(ep) + ep.others  # no report: all have room
 
@@ -437,16 +435,14 @@
         return self.choice(next(eps for eps in left if eps))
 
     def _gathers(self) -> bool:
-        """Whether groups are gathered rather than kept in the zone: where the fleet is crowded, or own
-        tunnels hardly tell where a group is. Guards against groups scattered over a large fleet after a mass
-        arrival."""
+        """Whether groups are gathered, not kept in the zone: where the fleet is crowded, or own tunnels
+        hardly tell where one is. Guards against groups scattered over a large fleet by a mass arrival."""
         return self.balancers > len(self.live) or (self.mean_load or 0.0) * ABOVE > FULL_LEAST
 
     def _at_home(self, tun: Tunnel, ready: list[Server]) -> list[Server]:
         """Where room is scarce, the ready servers that hold the group, and others the nearer to its home the
         fuller they are. Guards a fleet that fills again after a mass break: a server with a little room would
-        pay for nearly as many groups as tunnels. It hurts a group whose tunnels wait while there is room far
-        from its home."""
+        pay for nearly as many groups as tunnels. It hurts one that waits while room is far from home."""
         far, home, group = AWAY * len(self.live) / WORD, AWAY * HOME, tun.group
         fuller = {ep: ep.reckoned + max(home, far * self._far(tun, ep)) for ep in ready}
         return [ep for ep in ready if group in ep.groups or fuller[ep] < self.full + home]
@@ -508,9 +504,7 @@
 
     def _told(self, ep: Server, now: float) -> None:
         waiting, ep.waiting = ep.waiting, []
-        for tun in waiting:
-            if tun.state is not State.ASKING:
-                continue
+        for tun in [waits for waits in waiting if waits.state is State.ASKING]:
             tun.to(State.HELD)
             if len(self._ready([drawn for drawn in tun.drawn if drawn.active], now)) == len(tun.drawn):
                 self._offer(tun, now)
@@ -633,6 +627,13 @@
             setup.ep.strikes -= setup.ep.out_until <= now and setup.ep.strikes > 0
             self.retries = min(self.retries + RETRY_SHARE, self.retry_top)
 
+    def may_write(self, tun: Tunnel, number: int, now: float) -> bool:
+        """Its connection is up: rules 1 to 3 bind what is written now, not only what was chosen before."""
+        setup = tun.setups[number]
+        holds = setup.out and tun.state is State.SETTING_UP and setup.ep.active and now < tun.deadline
+        setup.may_have_run = holds and self._may_go(tun, setup.ep, now)
+        return setup.may_have_run
+
     def ended(self, tun: Tunnel, number: int, ending: Ending, closed: bool, told: Report, now: float) -> None:
         setup = tun.setups[number]
         setup.out, setup.may_have_run, was_open = False, ending not in NEVER_RAN, setup.began
@@ -707,9 +708,8 @@
         if tun.state is not State.OPEN:
             return
         ep = tun.setups[-1].ep
-        if delay <= QUICK * self.goal:
-            if ep.slow:
-                ep.slow, ep.out_until = False, now
+        if delay <= QUICK * self.goal and ep.slow:
+            ep.slow, ep.out_until = False, now
         elif delay > SLOW * self.goal:
             ep.slow = True
             ep.probe_due = min(ep.probe_due, max(now, ep.heard_at + self.goal))
--- /dev/null
+++ b/tests/crossing/test_shutdown.py
@@ -0,0 +1,307 @@
+"""The end of a balancer and what crosses it: requests, answers, slow readers, signals."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from crossing.world import HeldLoop, World, opening, play, turns, until
+from pointgw.net.memory import effects as fx
+from pointgw.net.memory.reducer import ARRIVE_ON
+from pointgw.net.run.node import Node
+
+STALL = {"setupGoal": 100.0, "clientTimeout": 300.0}  # the shortest stop: 0.9 s
+
+
+def test_a_loop_that_stands_still_over_the_whole_stop_still_moves_and_answers() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client, _ = await world.opened("one")
+        loop.before = asyncio.Event()
+        waiting = await world.client()
+        waiting.say(opening("two", 300))
+        await loop.dialling.wait()
+        node.stop()
+        time.sleep(node.reducer.stop_within + 0.1)  # nothing of ours runs meanwhile
+        assert await client.rest() == b"MOVE\r\n"
+        assert await waiting.rest() in (b"BUSY\r\n", b"ERR\r\n")
+        await asyncio.wait_for(node.ended, 2)
+
+    play(scene, World(profile=STALL))
+
+
+@pytest.mark.parametrize("crosses", [True, False])
+def test_one_that_rests_is_ended_in_order_and_what_crosses_that_is_not_sent_on(crosses: bool) -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client = await world.client()
+        client.say(b"PING\r\n")
+        assert await client.line() == b"PONG\r\n"
+        node.stop()
+        if crosses:  # after our end, and before the client has read it
+            await until(lambda: node.door.farewells)
+            client.say(opening())
+            await turns()
+        got = await client.rest()  # guards against a reset that takes the answer with it
+        assert got == b"BUSY\r\n" and not world.sent()
+        client.close()
+        await asyncio.wait_for(node.ended, 5)
+
+    play(scene, World())
+
+
+def test_a_request_on_a_resting_connection_in_the_moment_of_its_end_is_answered() -> None:
+    """Its line is in the balancer's socket, and not read, as the resting ones are ended."""
+
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client = await world.client()
+        await until(lambda: node.door.resting)
+        do = node._do
+
+        def hold(effect: Any) -> None:
+            if isinstance(effect, fx.EndResting) and not client.writer.is_closing():
+                client.sock.setblocking(False)
+                os.write(client.sock.fileno(), opening())
+            do(effect)
+
+        node._do = hold  # type: ignore[method-assign]
+        node.stop()
+        assert await client.rest() == b"BUSY\r\n"
+        assert not world.sent()
+
+    play(scene, World())
+
+
+def test_one_in_the_accept_backlog_as_the_balancer_leaves_is_answered() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        late: list[socket.socket] = []
+        do = node._do
+
+        def hold(effect: Any) -> None:
+            if isinstance(effect, fx.Exit) and not late:
+                late.append(socket.create_connection(("127.0.0.1", world.listen)))
+                late[0].sendall(opening())
+            do(effect)
+
+        node._do = hold  # type: ignore[method-assign]
+        node.stop()
+        await until(lambda: late)
+        late[0].setblocking(False)
+        got = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(late[0], 100), 3)
+        assert got == b"BUSY\r\n"
+        late[0].close()
+        await asyncio.wait_for(node.ended, 5)
+
+    play(scene, World())
+
+
+def test_a_slow_reader_gets_its_last_lines_and_the_move() -> None:
+    lines = b"".join(b"%07d" % i + b"x" * 1000 + b"\r\n" for i in range(4000))
+
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client, server = await world.opened()
+        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        server.say(lines)
+        (side,) = node.clients.values()
+        await until(lambda: side.transport.get_write_buffer_size() > 0)
+        await turns(100)
+        node.stop()
+        await until(lambda: side in node.door.farewells)
+        await asyncio.sleep(0.5)  # twice what it was given before
+        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        got = await client.rest()
+        assert got.endswith(b"\r\nMOVE\r\n") and lines.startswith(got.removesuffix(b"MOVE\r\n"))
+
+    play(scene, World())
+
+
+def test_a_final_answer_reaches_a_client_that_has_sent_a_flood() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client = await world.client()
+        client.say(opening() + b"y" * 3_000_000)
+        assert await client.rest() == b"ERR\r\n"
+
+    play(scene, World())
+
+
+def test_one_that_is_moved_and_comes_back_within_the_stop_is_told_to_go_elsewhere() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client, _ = await world.opened("one")
+        node.stop()
+        assert await client.rest() == b"MOVE\r\n"
+        client.close()
+        again = await world.client()
+        again.say(opening("two", more=",again=1"))
+        assert await again.rest() == b"BUSY\r\n"
+        assert len([c for peer in world.servers for c in peer.conns]) == 1
+
+    play(scene, World())
+
+
+def test_a_hung_setup_gets_one_answer_before_the_process_may_be_killed() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client = await world.client()
+        client.say(opening())
+        await world.setup()
+        began = node.now()
+        node.stop()
+        assert await client.rest() in (b"BUSY\r\n", b"ERR\r\n")
+        client.close()
+        await asyncio.wait_for(node.ended, 5)
+        assert node.now() - began < 1.5 + 0.7
+
+    play(scene, World())
+
+
+def test_signals_while_stopping_change_nothing() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client, server = await world.opened()
+        before = node.discovery
+        os.kill(os.getpid(), signal.SIGTERM)
+        await until(lambda: node.stopping)
+        os.kill(os.getpid(), signal.SIGTERM)
+        os.kill(os.getpid(), signal.SIGHUP)
+        server.say(b"on\r\n")
+        assert await client.line() == b"on\r\n"
+        assert await client.rest() == b"MOVE\r\n"
+        client.close()
+        await asyncio.wait_for(node.ended, 5)
+        assert node.discovery is before
+
+    play(scene, World())
+
+
+def test_new_connections_are_served_until_they_no_longer_come() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        node.stop()
+        client = await world.client()
+        client.say(b"PING\r\n")
+        assert await client.line() == b"ERR\r\n"
+        opened, _ = await world.opened()
+        assert node.now() < node.reducer.stop_at + ARRIVE_ON
+        assert await opened.rest() == b"MOVE\r\n"
+
+    play(scene, World())
+
+
+# Signals to a real process, which itself tells where it is: it sends them to itself at the named step.
+
+TERM_AS_IT_LISTENS = """
+import asyncio, os, signal, uvloop
+import pointgw.net.run.node as node
+
+class Loop(uvloop.Loop):
+    async def create_server(self, *args, **named):
+        made = await super().create_server(*args, **named)
+        os.kill(os.getpid(), signal.SIGTERM)
+        return made
+
+def run(main):
+    with asyncio.Runner(loop_factory=Loop) as runner:
+        runner.run(main)
+
+node.uvloop.run = run
+"""
+HUP_AS_IT_LOADS = """
+import builtins, os, signal, sys
+real, sent = builtins.__import__, []
+
+def load(name, *args, **named):
+    if name == "pointgw.net.run.daemon" and not sent:
+        sent.append(os.kill(os.getpid(), signal.SIGHUP))
+    return real(name, *args, **named)
+
+builtins.__import__ = load
+"""
+HUP_AFTER_THE_FILE_IS_READ = """
+import os, signal
+import pointgw.net.run.daemon as daemon
+read, sent = daemon.start, []
+
+def start(data):
+    told = read(data)
+    if not sent:
+        os.replace(os.environ["GW_CONFIG"] + ".next", os.environ["GW_CONFIG"])
+        sent.append(os.kill(os.getpid(), signal.SIGHUP))
+    return told
+
+daemon.start = start
+"""
+
+
+Child = subprocess.Popen[bytes]
+
+
+async def process(world: World, tmp_path: Path, step: str, discovery: int | None = None) -> Child:
+    """The daemon as a process of its own, with a step that it takes before; its next file has another
+    discovery."""
+    await world.stand()
+    path = tmp_path / "config.json"
+    path.write_bytes(world.told(world.listen))
+    if discovery is not None:
+        told = world.told(world.listen).replace(b":%d\"" % world.discovery.port, b":%d\"" % discovery)
+        (tmp_path / "config.json.next").write_bytes(told)
+    run = step + "\nimport sys\nfrom pointgw.__main__ import main\nsys.exit(main())\n"
+    env = os.environ | {"GW_CONFIG": str(path)}
+    root = Path(__file__).resolve().parents[2]
+    return subprocess.Popen([sys.executable, "-c", run], env=env, cwd=root, stderr=subprocess.DEVNULL)
+
+
+async def ended(child: subprocess.Popen[bytes]) -> int:
+    return await asyncio.wait_for(asyncio.to_thread(child.wait), 10)
+
+
+def with_process(scene: Any) -> None:
+    async def main() -> None:
+        world = World()
+        children: list[Child] = []
+        try:
+            async with asyncio.timeout(20):
+                await scene(world, children)
+        finally:
+            for child in children:
+                if child.poll() is None:
+                    child.kill()
+                    child.wait()
+            world.stop()
+
+    asyncio.run(main())
+
+
+def test_a_term_as_the_listener_stands_is_a_stop_and_no_death(tmp_path: Path) -> None:
+    async def scene(world: World, children: list[Child]) -> None:
+        children.append(await process(world, tmp_path, TERM_AS_IT_LISTENS))
+        assert await ended(children[0]) == 0
+
+    with_process(scene)
+
+
+def test_a_hup_while_the_program_loads_does_not_end_it(tmp_path: Path) -> None:
+    async def scene(world: World, children: list[Child]) -> None:
+        children.append(await process(world, tmp_path, HUP_AS_IT_LOADS))
+        await world.discovery.call()
+        children[0].terminate()
+        assert await ended(children[0]) == 0
+
+    with_process(scene)
+
+
+def test_a_hup_after_the_file_was_read_is_not_lost(tmp_path: Path) -> None:
+    async def scene(world: World, children: list[Child]) -> None:
+        other = type(world.discovery)()
+        await other.start()
+        children.append(await process(world, tmp_path, HUP_AFTER_THE_FILE_IS_READ, other.port))
+        call = await other.call()  # the one that the new file names
+        assert b"from=" not in call.head
+        other.stop()
+
+    with_process(scene)
+
+
