--- /dev/null
+++ b/tests/crossing/test_watch.py
@@ -0,0 +1,231 @@
+"""Calls to discovery and what crosses them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+from crossing.world import Call, HeldLoop, World, opening, play, turns, until
+
+from pointgw.net.memory.events import Reloaded
+from pointgw.net.run.discovery import TOLD_AFTER
+from pointgw.net.run.node import Node
+from pointgw.net.wire.listing import LONGEST_HEAD
+
+ASKED = {"askEvery": 4000.0}  # a watch waits 2 s
+
+
+async def away(world: World, call: Call, version: int) -> Call:
+    """Tells server 0 away, and gives the next watch."""
+    call.answer(version, world.line(0, status="draining"))
+    return await world.discovery.call(call.conn)
+
+
+async def goes_to_the_other(node: Node, world: World, name: str = "later") -> None:
+    client = await world.client()
+    client.say(opening(name))
+    at, server = await world.setup()
+    assert at == 1 and (await server.line()).startswith(b"OPEN")
+    server.say(b"UP r-1\r\n")
+    assert await client.line() == b"UP r-1\r\n"
+
+
+def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_missed_counts_as_told() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        # The first watch was answered; from this one on nothing comes.
+        world.watch.answer(2)
+        await world.discovery.call(world.watch.conn)
+        began, hold = time.monotonic(), node.reducer.hold
+        again = await world.discovery.call(await world.discovery.conn())
+        took = time.monotonic() - began
+        assert hold < took < hold + 0.75 * TOLD_AFTER  # what is left is for the answer
+        again.answer(3, world.line(0, status="draining"))
+        await until(lambda: node.reducer.index == 3)
+        assert time.monotonic() - began < hold + TOLD_AFTER
+        await goes_to_the_other(node, world)
+
+    play(scene, World(rules=ASKED))
+
+
+def test_a_second_silence_in_a_row_is_not_answered_with_a_storm_of_calls() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        calls = 0
+        world.watch.answer(2)
+        await world.discovery.call(world.watch.conn)
+        end = asyncio.get_running_loop().time() + 8.0
+        while (left := end - asyncio.get_running_loop().time()) > 0:
+            try:
+                conn = await asyncio.wait_for(world.discovery.taken.get(), left)
+            except TimeoutError:
+                break
+            await world.discovery.call(conn)
+            calls += 1
+        assert 2 <= calls <= 4
+
+    play(scene, World(rules=ASKED))
+
+
+def test_what_a_pushed_list_tells_holds_for_the_first_client() -> None:
+    # Guards rule 3: the agent's news counts as told from the first moment of a process.
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        call = await world.discovery.call()
+        with pytest.raises(OSError):  # nobody is let in before
+            await world.client()
+        call.answer(2, world.line(0, status="draining"))
+        watch = await world.discovery.call(call.conn)
+        await until(lambda: node.door.listener is not None)
+        await goes_to_the_other(node, world)
+        # One watch after the other, and anew at once where one breaks.
+        watch.conn.reset()
+        began = time.monotonic()
+        call = await world.discovery.call()
+        assert time.monotonic() - began < 0.4
+        call.say(b"", b"503 Away")
+        call = await world.discovery.call()
+        assert time.monotonic() - began < 0.8
+        call.answer(3, world.line(0, status="up"), world.line(1, status="draining"))
+        await until(lambda: node.reducer.index == 3)
+        client = await world.client()
+        client.say(opening("last"))
+        assert (await world.setup())[0] == 0
+
+    play(scene, World(mode="automatic"), first=False)
+
+
+def test_an_agent_that_says_nothing_does_not_keep_a_balancer_from_serving() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        await world.discovery.call()
+        await until(lambda: node.door.listener is not None)
+        client = await world.client()
+        client.say(b"PING\r\n")
+        assert await client.line() == b"PONG\r\n"
+
+    play(scene, World(mode="automatic"), first=False)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"nonsense\r\n\r\n",
+        HEAD + b"{}",
+        HEAD + b"[}",
+        b"HTTP/1.1 200 OK\r\n" + b"X-More: " + b"y" * LONGEST_HEAD + b"\r\n",
+        b"HTTP/1.1 503 Away\r\nContent-Length: 0\r\n\r\n",
+        HEAD + b"{}" + HEAD + b"{}",
+        b"",
+    ],
+)
+def test_a_call_that_fails_fails_once_and_the_list_stays(answer: bytes) -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        failed = 0
+        feed = node.feed
+
+        def count(event: object) -> None:
+            nonlocal failed
+            failed += type(event).__name__ == "ListFailed"
+            feed(event)  # type: ignore[arg-type]
+
+        node.feed = count  # type: ignore[assignment]
+        watch = await away(world, world.watch, 2)
+        watch.conn.say(answer)
+        if not answer:
+            watch.conn.reset()
+        await until(lambda: failed)
+        call = await world.discovery.call()
+        assert b"from=2" in call.head
+        if answer and not watch.conn.writer.is_closing():
+            watch.conn.say(HEAD + b"{}")  # what still comes on the one that is over does not count
+        await turns()
+        assert failed == 1 and node.reducer.index == 2
+        await goes_to_the_other(node, world)
+
+    play(scene, World(rules=ASKED))
+
+
+def test_a_list_may_come_in_pieces_and_indented() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        told = {"index": 2, "snapshot": False, "endpoints": [world.line(0, status="draining")]}
+        body = json.dumps(told, indent=4).encode()
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+        for i in range(0, len(data), 37):
+            world.watch.conn.say(data[i : i + 37])
+            await turns(1)
+        await until(lambda: node.reducer.index == 2)
+        await goes_to_the_other(node, world)
+
+    play(scene, World())
+
+
+def test_an_answer_of_the_discovery_that_was_left_does_not_count() -> None:
+    """SIGHUP, and the old watch's answer in the same turn, in both orders of arrival at the loop."""
+
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        other = type(world.discovery)()
+        await other.start()
+        world.watch.answer(9, world.line(1, status="draining"))  # in the socket, not read yet
+        node.feed(Reloaded(("127.0.0.1", other.port), node.start.names))
+        call = await other.call()
+        assert b"from=" not in call.head
+        call.answer(3, world.line(0, status="draining"), world.line(1), whole=True)
+        await other.call(call.conn)
+        await until(lambda: node.reducer.index == 3)
+        await goes_to_the_other(node, world)
+        other.stop()
+
+    play(scene, World())
+
+
+def test_a_dial_that_was_given_up_and_came_up_acts_on_nothing() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        other = type(world.discovery)()
+        await other.start()
+        loop.after = asyncio.Event()
+        loop.up.clear()
+        world.watch.conn.reset()
+        await until(loop.up.is_set, 8)  # the new call's connection is up, and its dial has not come back
+        old = node.discovery
+        node.feed(Reloaded(("127.0.0.1", other.port), node.start.names))
+        loop.after.set()
+        call = await other.call()
+        assert node.discovery is not old and old.link is None
+        call.answer(3, world.line(0, status="draining"), world.line(1), whole=True)
+        await other.call(call.conn)
+        await goes_to_the_other(node, world)
+        other.stop()
+
+    play(scene, World(rules=ASKED))
+
+
+def test_a_call_whose_dial_is_held_past_its_time_is_followed_by_one_on_another_connection() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        side = node.discovery
+        loop.before = asyncio.Event()
+        loop.dialling.clear()
+        world.watch.conn.reset()
+        await until(loop.dialling.is_set, 8)
+        first = side.link
+        assert first is not None
+        await until(lambda: side.link is not first, 8)  # given up by the clock
+        loop.before.set()
+        call = await world.discovery.call()
+        call.answer(2, world.line(0, status="draining"))
+        await until(lambda: node.reducer.index == 2)
+        assert first.transport is None or first.transport.is_closing()
+        await goes_to_the_other(node, world)
+
+    play(scene, World(rules=ASKED))
+
+
+def test_a_connection_that_discovery_keeps_is_used_again() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        call = world.watch
+        for version in range(2, 6):
+            call = await away(world, call, version)
+        assert len(world.discovery.conns) == 1
+
+    play(scene, World())
