--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -291,8 +291,9 @@
         for server in list(self.servers.values()):
             server.look(now)
         for side in list(self.door.resting):
-            # One whose line has come and was not read yet is not silent.
-            if now - side.came > self.first_within and not ends.unread(side.transport):
+            # One whose line has come and was not read yet is not silent; one amid its line has longer.
+            within = self.reducer.longest if side.buffer else self.first_within
+            if now - side.came > within and not ends.unread(side.transport):
                 side.refuse("silent", "expected a first line in time")
         self.loop.call_later(LOOK, self._look)
 
--- a/tests/crossing/test_shutdown.py
+++ b/tests/crossing/test_shutdown.py
@@ -107,7 +107,7 @@
 
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         client, server = await world.opened()
-        client.writer.transport.pause_reading()  # type: ignore[attr-defined]
+        client.hold()
         server.say(lines)
         (side,) = node.clients.values()
         await until(lambda: side.transport.get_write_buffer_size() > 0)
@@ -115,7 +115,7 @@
         node.stop()
         await until(lambda: side in node.door.farewells)
         await asyncio.sleep(0.5)  # twice what it was given before
-        client.writer.transport.resume_reading()  # type: ignore[attr-defined]
+        client.go_on()
         got = await client.rest()
         assert got.endswith(b"\r\nMOVE\r\n") and lines.startswith(got.removesuffix(b"MOVE\r\n"))
 
--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -7,8 +7,8 @@
 import time
 
 import pytest
-from crossing.world import Call, HeldLoop, World, opening, play, turns, until
 
+from crossing.world import Call, HeldLoop, World, opening, play, turns, until
 from pointgw.net.memory.events import Reloaded
 from pointgw.net.run.discovery import TOLD_AFTER
 from pointgw.net.run.node import Node
@@ -130,7 +130,7 @@
             failed += type(event).__name__ == "ListFailed"
             feed(event)  # type: ignore[arg-type]
 
-        node.feed = count  # type: ignore[assignment]
+        node.feed = count  # type: ignore[method-assign]
         watch = await away(world, world.watch, 2)
         watch.conn.say(answer)
         if not answer:
--- a/tests/crossing/world.py
+++ b/tests/crossing/world.py
@@ -42,6 +42,15 @@
     def end(self) -> None:
         self.writer.write_eof()
 
+    def hold(self) -> None:
+        """It is not read any more, until `go_on`."""
+        transport: Any = self.writer.transport
+        transport.pause_reading()
+
+    def go_on(self) -> None:
+        transport: Any = self.writer.transport
+        transport.resume_reading()
+
     def reset(self) -> None:
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         self.writer.transport.abort()
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,55 @@
+"""The handling of KNOWN-RED.txt, played by a run of pytest of its own."""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+TESTS = """
+def test_red():
+    assert False
+
+def test_green():
+    assert True
+"""
+
+
+def run(tmp_path: Path, listed: str | None) -> subprocess.CompletedProcess[str]:
+    here = Path(__file__).parent
+    for name in ("conftest.py", "known_red.py"):
+        shutil.copy(here / name, tmp_path / name)
+    (tmp_path / "pytest.ini").write_text("[pytest]\npythonpath = .\n")
+    (tmp_path / "test_some.py").write_text(TESTS)
+    if listed is not None:
+        (tmp_path / "KNOWN-RED.txt").write_text(listed)
+    command = [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--rootdir", str(tmp_path)]
+    return subprocess.run([*command, str(tmp_path)], capture_output=True, text=True, cwd=tmp_path, timeout=60)
+
+
+@pytest.mark.parametrize(
+    ("listed", "code", "says"),
+    [
+        (None, 1, "1 failed, 1 passed"),  # without the file, and without a line in it, all count
+        ("# nothing is red\n", 1, "1 failed, 1 passed"),
+        ("test_some.py::test_red | the sky | issue 7\n", 0, "1 passed, 1 xfailed"),
+        ("test_some.py::test_green | the sky | issue 7\n", 1, "XPASS(strict)"),
+        ("test_some.py::test_none | the sky | issue 7\n", 4, "there is no test"),
+        ("test_some.py::test_red | the sky\n", 4, "expected 'test | cause | issue'"),
+        ("a | b | c\n" * 4, 4, "3 lines at most"),
+    ],
+)
+def test_only_listed_tests_may_be_red_and_none_of_them_green(
+    tmp_path: Path, listed: str | None, code: int, says: str
+) -> None:
+    done = run(tmp_path, listed)
+    assert done.returncode == code and says in done.stdout + done.stderr, done.stdout + done.stderr
+
+
+def test_what_is_listed_is_printed(tmp_path: Path) -> None:
+    assert "test_some.py::test_red: the sky (issue 7)" in run(
+        tmp_path, "test_some.py::test_red | the sky | issue 7\n"
+    ).stdout
