Where nothing opens tries come up to 16 setup goals apart: a store that all servers ask can recover

The 64 balancers that were not killed made 779 setups that timed out and 36 that opened after 12.5 s, at 66 of 81 servers, whose probes told loads of 0.1 to 0.4 and nothing waiting: not the servers were full, but the session store that each new connection asks (store_headroom 8 there). What times out was work for it too; each balancer tried again after at most four goals (0.7 s), 200 of them for ever. The test is red with the former bound.

--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -18,8 +18,8 @@
 # after that wait is over"). Half of it may go until the call is given up; the other half is the next one's.
 TOLD_AFTER = 2.0
 SPARE = TOLD_AFTER / 2
-# Seconds for an answer that does not wait. Discovery works through calls in turn and says so itself where one waited
-# too long: given up before that, each call only joins the end of the queue again. One that is silent counts after 6 s.
+# Seconds for an answer that does not wait. Discovery works through calls in turn and says so itself where one
+# waited too long: given up before that, each call only joins the end of the queue. Silence counts after 6 s.
 SILENT_AFTER = 6.0
 ANSWER = SILENT_AFTER - TOLD_AFTER
 
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -36,7 +36,7 @@
         self.transport: asyncio.Transport | None = None
         self.up: lines.Up | None = None
         self.waits_since: float | None = None  # since when the client's lines have brought nothing back
-        self.until = node.loop.time() + asked.after + asked.within
+        self.until = node.now() + asked.after + asked.within  # the loop's clock is old when it is busy
         dialled = asked.after + min(asked.connect_within, asked.within)
         self.timer = node.loop.call_later(dialled, self._late)
         self.task = node.loop.create_task(self._connect())
@@ -62,7 +62,7 @@
         """The request. Its `d` is what is left now of the time that this balancer waits."""
         if self.life.stage is not Stage.DIALLING or self.transport is None:
             return
-        left = self.until - self.node.loop.time()
+        left = self.until - self.node.now()
         self.timer.cancel()
         self.timer = self.node.loop.call_later(left, self._late)
         self.life.to(Stage.WRITTEN)
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -47,7 +47,7 @@
 SEVERAL = 3  # own tunnels at a server over which probes of it are paid for by those that stand
 AWAY = 0.06  # load that a server must have less for each place that it lies away from a group's home
 SCARCE = 8  # setup goals for which a tunnel turned away tells that room is scarce
-LOST = 2  # setups in a row that were not opened, after which one is out at a time
+LOST, PAUSES = 2, 4  # setups in a row not opened, after which one is out at a time; doublings of its pause
 HOME = 2  # ready servers at the head of a group's own order, of which candidates are drawn
 MIX, WORD = 0x9E3779B97F4A7C15, 2**64 - 1  # spread marks evenly over 64 bits
 HOLD = 1.5  # times the longest that a server which fails by turns stayed up: how long it must be back
@@ -369,9 +369,9 @@
 
     def _candidates(self, tun: Tunnel, now: float) -> list[Server]:
         """The ready servers that this tunnel may go to."""
-        # Guards against trying more where nothing opens: what all servers depend on is slow, or this balancer
-        # is cut off. It hurts tunnels that wait at the end of such a time.
-        pause = self.goal * 2 ** min(self.lost - LOST, 2)
+        # Guards against trying more where nothing opens: what all servers depend on is slow, and what times
+        # out is work for it too, or this balancer is cut off. It hurts who waits at the end of such a time.
+        pause = self.goal * 2 ** min(self.lost - LOST, PAUSES)
         if self.lost >= LOST and (self.out or now < self.lost_at + pause):
             return []
         pool = self.part or self.live
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1068,3 +1068,26 @@
     ep.probe_due, ep.out_until = 100.0, 100.0 + out_for
     bal._probe(100.0)
     assert (("probe", ep) in notes.asked) is asked
+
+
+def test_where_nothing_opens_tries_come_ever_further_apart() -> None:
+    # Guards a store that all servers ask: what times out was work for it, and storms of tries kept it full.
+    bal, _, servers = balancer([0.2] * 8)
+    now, gaps = 101.0, []
+    for _ in range(10):
+        tun, bal.retries = tunnel(bal), 0.0
+        bal._send(tun, servers[0], now)
+        now += bal.goal
+        bal.ended(tun, 0, "timeout", False, {}, now)
+        for ep in servers:
+            ep.out_until = 0.0
+        began = now
+        while not bal._candidates(tunnel(bal), now) and now < began + 40 * bal.goal:
+            now += bal.goal / 10
+        gaps.append(round((now - began) / bal.goal))
+    assert gaps == [0, 1, 2, 4, 8, 16, 16, 16, 16, 16]
+    # One that opens ends it.
+    tun = tunnel(bal)
+    bal._send(tun, servers[0], now)
+    bal.opened(tun, 0, now)
+    assert bal._candidates(tunnel(bal), now)
