--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -216,8 +216,10 @@
             if isinstance(event, Arrived | Dialled | Opened | Ended) and event.client in self.clients:
                 self._carry_out(effects)
                 self.clients[event.client].fail()
-                effects = [fx.Drop(event.client, setup) for c, setup in self.servers if c == event.client]
+                effects = []
                 self.queue.append(Left(event.client, False))
+                for side in [side for (client, _), side in self.servers.items() if client == event.client]:
+                    self.loop.call_soon(side.give_up)
         if isinstance(event, Told | ListFailed) and not self.heard.done():
             self.heard.set_result(None)
         if _trace.isEnabledFor(logging.DEBUG):
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -163,6 +163,10 @@
         else:
             self.transport.abort()
 
+    def give_up(self) -> None:
+        """Whatever it was for went wrong: its end is reported as if its connection had broken."""
+        self._end(self.life.broken())
+
     def _leave(self, stage: Stage) -> None:
         self.life.to(stage)
         self.timer.cancel()
