--- a/tests/crossing/test_shutdown.py
+++ b/tests/crossing/test_shutdown.py
@@ -178,6 +178,58 @@
     play(scene, World())
 
 
+def test_a_term_while_the_file_is_read_again_is_a_stop_after_it() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        client, _ = await world.opened()
+        again = node.again
+
+        def read() -> Any:
+            os.kill(os.getpid(), signal.SIGTERM)
+            return again()
+
+        node.again = read
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert await client.rest() == b"MOVE\r\n"
+        client.close()
+        await asyncio.wait_for(node.ended, 5)
+
+    play(scene, World())
+
+
+class Slow:
+    """What stands beside a balancer and takes its time, at its start and at its end."""
+
+    voice = None
+
+    def __init__(self) -> None:
+        self.began, self.go, self.stopped = asyncio.Event(), asyncio.Event(), 0
+
+    async def speak(self, *_: Any) -> None:
+        self.began.set()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await self.go.wait()
+
+    def stop(self) -> None:
+        self.stopped += 1
+
+
+def test_a_term_while_the_tier_or_recovery_begins_answers_all_and_ends_both() -> None:
+    tier, recovery = Slow(), Slow()
+
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        await tier.began.wait()
+        client, _ = await world.opened()
+        assert await client.rest() == b"MOVE\r\n"  # nothing of the stop waits for them
+        client.close()
+        await asyncio.wait_for(asyncio.shield(node.ended), 5)
+        tier.go.set()
+        await recovery.began.wait()
+        recovery.go.set()
+        await until(lambda: tier.stopped == recovery.stopped == 1)
+
+    play(scene, World(), tiering=tier, recovering=recovery)
+
+
 def test_new_connections_are_served_until_they_no_longer_come() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         node.stop()
--- a/tests/crossing/world.py
+++ b/tests/crossing/world.py
@@ -237,16 +237,16 @@
 
 def play(
     scene: Callable[[Node, World, HeldLoop], Awaitable[None]], world: World, first: bool = True,
-    seconds: float = 20.0,
+    seconds: float = 20.0, **beside: Any,
 ) -> None:  # fmt: skip
     """`first`: discovery's first call is answered, so that the list is known to be as it is; its watch stays
-    open as `world.watch`."""
+    open as `world.watch`. `beside`: what else the balancer is given."""
 
     async def main() -> None:
         await world.stand()
         told = start(world.told(world.listen))
         loop = HeldLoop(asyncio.get_running_loop())
-        node = Node(told, loop, lambda: told)  # type: ignore[arg-type]
+        node = Node(told, loop, lambda: told, **beside)  # type: ignore[arg-type]
         serving = asyncio.create_task(node.serve())
         try:
             async with asyncio.timeout(seconds):
