--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -5,15 +5,18 @@
 import asyncio
 import json
 import time
+from typing import Any
 
 import pytest
 
 from crossing.world import Call, HeldLoop, World, opening, play, turns, until
 from pointgw.net.memory.events import Reloaded
+from pointgw.net.run import discovery
 from pointgw.net.run.discovery import TOLD_AFTER
 from pointgw.net.run.node import Node
 from pointgw.net.wire.listing import LONGEST_HEAD
 
+CONNECTION = discovery.DiscoveryLink
 ASKED = {"askEvery": 4000.0}  # a watch waits 2 s
 
 
@@ -221,6 +224,37 @@
     play(scene, World(rules=ASKED))
 
 
+def test_a_connection_that_is_told_of_after_its_call_was_given_up_gets_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The next call is out on another connection when the loop tells of the first one."""
+    made = CONNECTION.connection_made
+    holds = asyncio.Event()
+    held: list[Any] = []
+
+    def hold(self: Any, transport: Any) -> None:
+        if holds.is_set() and not held:
+            held.append((self, transport))
+        else:
+            made(self, transport)
+
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        holds.set()
+        world.watch.conn.reset()
+        first = await asyncio.wait_for(world.discovery.taken.get(), 8)
+        await until(lambda: held)
+        call = await world.discovery.call(await asyncio.wait_for(world.discovery.taken.get(), 10))
+        made(*held[0])
+        assert await first.rest() == b""  # no second copy of the call, and its end acts on nothing
+        call.answer(2, world.line(0, status="draining"))
+        await until(lambda: node.reducer.index == 2)
+        await goes_to_the_other(node, world)
+
+    monkeypatch.setattr(CONNECTION, "connection_made", hold)
+    world = World(rules=ASKED)
+    play(scene, world)
+
+
 def test_a_connection_that_discovery_keeps_is_used_again() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         call = world.watch
