--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -150,6 +150,19 @@
     play(scene, World(rules=ASKED))
 
 
+def test_an_answer_that_waited_its_turn_at_discovery_counts() -> None:
+    # Guards discovery against calls that are given up and join the end of its queue again and again.
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        call = await world.discovery.call()
+        await asyncio.sleep(2.0)  # discovery's own limit is 1 to 3 s, and it says so where it is over
+        call.answer(2, world.line(0, status="draining"))
+        await until(lambda: node.reducer.index == 2)
+        assert len(world.discovery.conns) == 1
+        await goes_to_the_other(node, world)
+
+    play(scene, World(), first=False)
+
+
 def test_a_list_may_come_in_pieces_and_indented() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         told = {"index": 2, "snapshot": False, "endpoints": [world.line(0, status="draining")]}
