--- a/pointgw/drill/host.py
+++ b/pointgw/drill/host.py
@@ -34,7 +34,7 @@
     def setup(self, tun: Tunnel, ep: Server, patience: float) -> None:
         self.lines.append(f"ASSIGN\txid={tun.name}\tserver={ep.name}\tpatience={_ms(patience)}")
 
-    def call_off(self, tun: Tunnel, number: int) -> None:
+    def cancel(self, tun: Tunnel, number: int) -> None:
         self.lines.append(f"CALL_OFF\txid={tun.name}\troundNo={number}")
 
     def decline(self, tun: Tunnel, come_back: float) -> None:
--- a/pointgw/net/sure.py
+++ b/pointgw/net/invariant.py
@@ -6,10 +6,10 @@
 from collections import Counter
 
 broken: Counter[str] = Counter()
-_log = logging.getLogger("pointgw.sure")
+_log = logging.getLogger("pointgw.invariant")
 
 
-def must(holds: bool, what: str) -> bool:
+def invariant(holds: bool, what: str) -> bool:
     """True if it holds. `what` names the fault in a few fixed words, so that it can be counted."""
     if holds:
         return True
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from pointgw.interface import Ending, Listed, Report
+from pointgw.net.invariant import invariant
 from pointgw.net.memory import effects as fx
 from pointgw.net.memory.events import (
     Arrived,
@@ -30,7 +31,6 @@
     Told,
     Weighed,
 )
-from pointgw.net.sure import must
 from pointgw.net.wire.lines import Decline, Failure, Opening
 from pointgw.net.wire.listing import Listing
 from pointgw.net.wire.start import Start
@@ -160,7 +160,7 @@
     def _arrived(self, event: Arrived) -> None:
         opening, now = event.opening, self.now
         profile = self.profiles.get(opening.profile)
-        if not must(event.client not in self.clients, "a client arrives once"):
+        if not invariant(event.client not in self.clients, "a client arrives once"):
             return
         # Guards against the name of another client's tunnel: servers fail it, and would seem to be at fault.
         taken = opening.name in self.called
@@ -215,13 +215,13 @@
         """Ends a tunnel for the module. What is not written yet is dropped, whatever the settings let one
         cancel: no server has heard of it."""
         self.balancer.left(tun, self.now)
-        for number, setup in enumerate(() if self.balancer.may_call_off else tun.setups):
+        for number, setup in enumerate(() if self.balancer.may_cancel else tun.setups):
             if setup.out and not setup.began and not setup.may_have_run:
-                self.call_off(tun, number)
+                self.cancel(tun, number)
 
     def _forget_done(self, client: Client) -> None:
         if client.tun.done and client.standing is None:
-            must(client.answered, "a tunnel ends with a final answer")
+            invariant(client.answered, "a tunnel ends with a final answer")
             self.clients.pop(client.number, None)
             self.of.pop(client.tun, None)
             self.called.discard(client.opening.name)
@@ -283,7 +283,7 @@
         client = self.of.get(tun)
         if client is None:
             return
-        if not must(number < len(tun.setups) and tun.setups[number].out, "a setup ends once"):
+        if not invariant(number < len(tun.setups) and tun.setups[number].out, "a setup ends once"):
             return
         self.balancer.ended(tun, number, ending, closed, report, self.now)
         self._forget_done(client)
@@ -379,7 +379,7 @@
             fx.Connect(client.number, number, address, client.opening, patience, patience, within)
         )
 
-    def call_off(self, tun: Tunnel, number: int) -> None:
+    def cancel(self, tun: Tunnel, number: int) -> None:
         self.effects.append(fx.Drop(self.of[tun].number, number))
         self.later.append((tun, number, "cancelled" if tun.setups[number].may_have_run else "moot"))
 
@@ -392,7 +392,7 @@
         self._answer(self.of[tun], Failure())
 
     def _answer(self, client: Client, answer: Decline | Failure) -> None:
-        if must(not client.answered, "a tunnel gets one final answer"):
+        if invariant(not client.answered, "a tunnel gets one final answer"):
             client.answered = True
             self.effects.append(fx.Reply(client.number, answer))
             self._forget_done(client)
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -15,6 +15,7 @@
 import uvloop
 
 from pointgw import early
+from pointgw.net.invariant import broken
 from pointgw.net.memory import effects as fx
 from pointgw.net.memory.events import (
     Arrived,
@@ -36,7 +37,6 @@
 from pointgw.net.run.door import Door
 from pointgw.net.run.probe import ProbeSide
 from pointgw.net.run.server import ServerSide
-from pointgw.net.sure import broken
 from pointgw.net.wire.start import Start
 from pointgw.policy import Balancer
 from pointgw.site import Malformed
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -170,7 +170,7 @@
         self.uniform, self.choice, self.chance = rng.uniform, rng.choice, rng.random
         self.servers: dict[str, Server] = {}
         self.balancers, self.zone, self.shares = max(1, site.balancers), site.zone, site.shares
-        self.may_call_off, self.come_back = site.may_call_off, site.come_back
+        self.may_cancel, self.come_back = site.may_cancel, site.come_back
         self.goal = max(0.01, min(p.setup_goal for p in site.profiles))  # the pace of what goes by the clock
         self.pace = max(site.grain, self.goal / 4)
         self.margin = max(2 * site.grain, 0.01 * self.goal)  # to answer before the client gives up
@@ -681,9 +681,9 @@
             return
         was_open = tun.state is State.OPEN
         tun.to(State.ENDED)
-        for number, setup in enumerate(tun.setups if self.may_call_off and not was_open else ()):
+        for number, setup in enumerate(tun.setups if self.may_cancel and not was_open else ()):
             if setup.out:
-                self.host.call_off(tun, number)
+                self.host.cancel(tun, number)
 
     def load_noted(self, tun: Tunnel, load: float, now: float) -> None:
         """Guards against a tunnel that grows heavy while its server's last report still looks well."""
--- a/pointgw/site.py
+++ b/pointgw/site.py
@@ -150,7 +150,7 @@
         fields=tuple(REPORT_WORDS.get(name, name) for name in _list(conf, "report.fields", str)),
         max_setups=whole(conf, "limits.maxSetups", 1),
         may_probe=flag(conf, "limits.probes", False),
-        may_call_off=flag(conf, "limits.mayCancel", False),
+        may_cancel=flag(conf, "limits.mayCancel", False),
         come_back=seconds(conf, "limits.maxRetryAfter", 0.0) if advice else 0.0,
         grain=seconds(conf, "quantum", 0.0),
         cold_share=number(conf, "rules.coldFrom", 0.1),
--- a/tests/crossing/test_hand_over.py
+++ b/tests/crossing/test_hand_over.py
@@ -7,9 +7,9 @@
 import pytest
 
 from crossing.world import HeldLoop, World, opening, play, turns, until
+from pointgw.net.invariant import broken
 from pointgw.net.memory import events as ev
 from pointgw.net.run.node import Node
-from pointgw.net.sure import broken
 from pointgw.net.wire.lines import LONGEST
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -20,8 +20,8 @@
     def setup(self, tun: Tunnel, ep: Server, patience: float) -> None:
         self.asked.append(("setup", tun, ep, patience))
 
-    def call_off(self, tun: Tunnel, number: int) -> None:
-        self.asked.append(("call_off", tun, number))
+    def cancel(self, tun: Tunnel, number: int) -> None:
+        self.asked.append(("cancel", tun, number))
 
     def decline(self, tun: Tunnel, come_back: float) -> None:
         self.asked.append(("decline", tun, come_back))
@@ -49,7 +49,7 @@
     figures: dict[str, Any] = {
         "balancers": 2, "zone": 0, "profiles": (REPEATABLE,), "asks": False,
         "ask_every": 10.0, "fields": ("load",), "max_setups": 4, "may_probe": True,
-        "may_call_off": True, "come_back": 1.0, "grain": 0.005,
+        "may_cancel": True, "come_back": 1.0, "grain": 0.005,
         "cold_share": 0.2, "cold_time": 20.0, "tip_multiple": 3.0, "tip_span": 2.0, "probe_price": 0.005,
     }  # fmt: skip
     return Site(**(figures | changes))
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -67,7 +67,7 @@
     assert not red.clients and not red.of
 
 
-def test_one_that_leaves_before_its_answer_is_called_off_at_once() -> None:
+def test_one_that_leaves_before_its_answer_is_cancelled_at_once() -> None:
     red = reducer()
     arrive(red)
     assert red.take(ev.Left(1, False), 100.1) == [fx.Drop(1, 0)]
