A stop does not wait for an agent that says nothing

Read once more: where the list is pushed, serve() waits for discovery's first word before it listens, up to 4 s; a SIGTERM in that time ended the balancer only after it, past the time at which it may be killed. The test was red before (listener after 4 s).

--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -174,6 +174,8 @@
         if not self.stopping:
             self.stopping = True
             _log.info("stopping", extra={"fields": {"clients": len(self.clients)}})
+            if not self.heard.done():  # a start that waits for the list goes on, and so to its end
+                self.heard.set_result(None)
             self.feed(Stopping())
 
     def reload(self) -> None:
--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -107,6 +107,16 @@
     play(scene, World(mode="automatic"), first=False)
 
 
+def test_a_stop_does_not_wait_for_an_agent_that_says_nothing() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        await world.discovery.call()
+        node.stop()
+        await until(lambda: node.door.listener is not None, 1.0)  # on with its start, and so to its end
+        await asyncio.wait_for(asyncio.shield(node.ended), 2)
+
+    play(scene, World(mode="automatic"), first=False)
+
+
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
 
 
