One link for probes and calls to discovery; the module itself drops what was not sent; no behaviour changed

Read once more: ProbeLink and DiscoveryLink were the same connection twice; the reducer repeated the module's walk over setups to drop those not written (now in Balancer.left, where the rule on cancelling is); whether a watch was silent was read from the text of the failure; four effects looked a server up in the same lines.

--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -201,7 +201,7 @@
         client.answered = True
         tun = client.tun
         was_open = tun.state is State.OPEN
-        self._give_up(tun)
+        self.balancer.left(tun, self.now)
         if client.standing is not None:
             self.effects.append(fx.Drop(client.number, 0, event.reset))
             client.standing = None
@@ -211,14 +211,6 @@
             self.later.append((tun, number, "cancelled"))
         self._forget_done(client)
 
-    def _give_up(self, tun: Tunnel) -> None:
-        """Ends a tunnel for the module. What is not written yet is dropped, whatever the settings let one
-        cancel: no server has heard of it."""
-        self.balancer.left(tun, self.now)
-        for number, setup in enumerate(() if self.balancer.may_cancel else tun.setups):
-            if setup.out and not setup.began and not setup.may_have_run:
-                self.cancel(tun, number)
-
     def _forget_done(self, client: Client) -> None:
         if client.tun.done and client.standing is None:
             invariant(client.answered, "a tunnel ends with a final answer")
@@ -365,7 +357,7 @@
         if client.standing is not None:
             client.standing = None
             self.effects.append(fx.Drop(client.number, 0))
-        self._give_up(client.tun)
+        self.balancer.left(client.tun, self.now)
         if not client.answered:
             self._answer(client, Decline(0.0) if harmless else Failure())
 
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING, cast
+from typing import TYPE_CHECKING
 
 from pointgw.net.memory.effects import Ask
 from pointgw.net.memory.events import ListFailed, Told
+from pointgw.net.run.link import Link
 from pointgw.net.wire import listing
 from pointgw.site import Malformed
 
@@ -29,12 +30,13 @@
 class DiscoverySide:
     """The one call that is out, on whose behalf, and the connection it goes out on."""
 
-    __slots__ = ("address", "asked", "failing", "link", "names", "node", "task", "timer")
+    __slots__ = ("address", "asked", "failing", "link", "names", "node", "response", "task", "timer")
 
     def __init__(self, node: Node, address: tuple[str, int], names: listing.Names) -> None:
         self.node, self.address, self.names = node, address, names
         self.asked: Ask | None = None
-        self.link: DiscoveryLink | None = None  # the one connection whose bytes count
+        self.link: Link | None = None  # the one connection whose bytes count
+        self.response = listing.Response()  # what comes on it
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
         self.failing = False  # the last call failed, and the log says so
@@ -48,31 +50,39 @@
 
     def _go(self, asked: Ask) -> None:
         within = asked.hold + SPARE if asked.hold else ANSWER
-        self.timer = self.node.loop.call_later(within, self.failed, "no answer")
+        self.timer = self.node.loop.call_later(within, self.failed, "no answer", asked.hold > 0)
         if self.link is not None:
-            self.link.send(self._request(asked))
+            self.up()
         else:
-            self.link = link = DiscoveryLink(self)
+            self.response = listing.Response()
+            self.link = link = Link(self)
             self.task = self.node.loop.create_task(self._connect(link))
 
-    async def _connect(self, link: DiscoveryLink) -> None:
+    async def _connect(self, link: Link) -> None:
         try:
             await self.node.loop.create_connection(lambda: link, *self.address)
         except OSError as fault:
             if link is self.link:
                 self.failed(f"no connection: {fault}")
 
-    def _request(self, asked: Ask) -> bytes:
+    def up(self) -> None:
+        assert self.asked is not None and self.link is not None
         host = f"{self.address[0]}:{self.address[1]}"
-        return listing.request(host, asked.version, asked.hold)
+        self.link.send(listing.request(host, self.asked.version, self.asked.hold))
 
-    def up(self, link: DiscoveryLink) -> None:
-        assert self.asked is not None
-        link.send(self._request(self.asked))
+    def heard(self, data: bytes) -> None:
+        try:
+            self.response.feed(data)
+        except Malformed as fault:
+            self.failed(str(fault))
+            return
+        if self.response.take_done():
+            self._answered(self.response)
 
-    def answered(self, link: DiscoveryLink) -> None:
-        """A whole answer has come on the connection that counts."""
-        response = link.response
+    def lost(self) -> None:
+        self.failed("connection ended")
+
+    def _answered(self, response: listing.Response) -> None:
         if self.asked is None:
             self._close()  # nothing was asked
             return
@@ -88,12 +98,12 @@
         self.over(keep=response.keeps_alive)
         self.node.feed(Told(told))
 
-    def failed(self, why: str) -> None:
-        """Whatever was wrong, a call fails once, and its connection goes with it."""
+    def failed(self, why: str, silent: bool = False) -> None:
+        """Whatever was wrong, a call fails once, and its connection goes with it. `silent`: a watch of which
+        nothing came."""
         if self.asked is None:
             self._close()
             return
-        silent = why == "no answer" and self.asked.hold > 0
         self.over(keep=False)
         (_log.debug if self.failing else _log.warning)("call failed", extra={"fields": {"why": why}})
         self.failing = True
@@ -113,44 +123,3 @@
         link, self.link = self.link, None
         if link is not None:
             link.close()
-
-
-class DiscoveryLink(asyncio.Protocol):
-    """One connection. Once its owner has let go of it, nothing that still happens to it counts."""
-
-    __slots__ = ("owner", "response", "transport")
-
-    def __init__(self, owner: DiscoverySide) -> None:
-        self.owner, self.response = owner, listing.Response()
-        self.transport: asyncio.Transport | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-        if self.owner.link is self:
-            self.owner.up(self)
-        else:
-            self.transport.abort()  # a dial that was given up, and came up all the same
-
-    def send(self, request: bytes) -> None:
-        """Before it is up nothing goes out: `up` does so then."""
-        if self.transport is not None:
-            self.transport.write(request)
-
-    def data_received(self, data: bytes) -> None:
-        if self.owner.link is not self:
-            return
-        try:
-            self.response.feed(data)
-        except Malformed as fault:
-            self.owner.failed(str(fault))
-            return
-        if self.response.take_done():
-            self.owner.answered(self)
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        if self.owner.link is self:
-            self.owner.failed("connection ended")
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -240,6 +240,9 @@
             except Exception:
                 self._fault("an effect is carried out", effect)
 
+    def _server(self, effect: fx.Write | fx.Drop | fx.Join | fx.Move) -> ServerSide | None:
+        return self.servers.get((effect.client, effect.setup))
+
     def _do(self, effect: fx.Effect) -> None:
         match effect:
             case fx.Connect():
@@ -247,16 +250,13 @@
                 if side is not None:
                     self.servers[effect.client, effect.setup] = ServerSide(self, effect, side)
             case fx.Write():
-                server = self.servers.get((effect.client, effect.setup))
-                if server is not None:
+                if (server := self._server(effect)) is not None:
                     server.write()
             case fx.Drop():
-                server = self.servers.get((effect.client, effect.setup))
-                if server is not None:
+                if (server := self._server(effect)) is not None:
                     server.drop(effect.reset)
             case fx.Join():
-                server = self.servers.get((effect.client, effect.setup))
-                if server is not None:
+                if (server := self._server(effect)) is not None:
                     server.join()
             case fx.Reply():
                 if effect.client in self.clients:
@@ -267,8 +267,7 @@
             case fx.Move():
                 if effect.client in self.clients:
                     self.clients[effect.client].move()
-                server = self.servers.get((effect.client, effect.setup))
-                if server is not None:
+                if (server := self._server(effect)) is not None:
                     server.drop(False)
             case fx.Probe():
                 if effect.server not in self.probes:
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -681,8 +681,8 @@
             return
         was_open = tun.state is State.OPEN
         tun.to(State.ENDED)
-        for number, setup in enumerate(tun.setups if self.may_cancel and not was_open else ()):
-            if setup.out:
+        for number, setup in enumerate(() if was_open else tun.setups):
+            if setup.out and (self.may_cancel or not setup.may_have_run):  # what was not sent can be dropped
                 self.host.cancel(tun, number)
 
     def load_noted(self, tun: Tunnel, load: float, now: float) -> None:
--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -11,12 +11,12 @@
 
 from crossing.world import Call, HeldLoop, World, opening, play, turns, until
 from pointgw.net.memory.events import Reloaded
-from pointgw.net.run import discovery
 from pointgw.net.run.discovery import TOLD_AFTER
+from pointgw.net.run.link import Link
 from pointgw.net.run.node import Node
 from pointgw.net.wire.listing import LONGEST_HEAD
 
-CONNECTION = discovery.DiscoveryLink
+CONNECTION = Link
 ASKED = {"askEvery": 4000.0}  # a watch waits 2 s
 
 
