Soak test over real processes, and three faults it led to, committed red

One entry out of range fails a whole list. A log pipe that nobody reads stops the process after 63 requests at debug level.

--- /dev/null
+++ b/tests/soak/balancer.py
@@ -0,0 +1,118 @@
+"""A balancer of a soak run as a process: its files, its starts and its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import IO, Any
+
+from soak.syscall_faults import SyscallFaults
+
+ROOT = Path(__file__).parents[2]
+READY_WITHIN = 10.0  # seconds
+PORT = 8443  # that all listen on, each at an address of its own: no outgoing connection can have it
+
+
+class BalancerProcess:
+    """One balancer under its name and address over all its starts."""
+
+    def __init__(self, number: int, host: str, folder: Path, seed: int, descriptors: int) -> None:
+        self.number, self.host, self.folder, self.descriptors = number, host, folder, descriptors
+        self.name = f"n{number}"
+        self.config = folder / f"{self.name}.json"
+        self.log_path = folder / f"{self.name}.log"
+        self.faults = SyscallFaults(folder / f"{self.name}.faults", seed)
+        self.process: subprocess.Popen[bytes] | None = None
+        self.log: IO[bytes] | None = None
+        self.starts = 0
+        self.ready = False
+        self.stopping_at: float | None = None
+        self.started_at = 0.0
+        self.ready_times: list[float] = []
+        self.unexpected_ends: list[str] = []
+        self.discovery_port = 0
+        self.killed_at: dict[int, float] = {}  # by start: when it was ended by force
+
+    def write_config(self, told: dict[str, Any]) -> None:
+        """Replaces the file in one step."""
+        aside = self.config.with_suffix(".new")
+        aside.write_text(json.dumps(told))
+        aside.rename(self.config)
+
+    def start(self) -> None:
+        self.starts += 1
+        self.ready, self.stopping_at, self.started_at = False, None, time.monotonic()
+        if self.log is None:
+            self.log = self.log_path.open("ab")
+        environment = os.environ | self.faults.environment() | {"GW_CONFIG": str(self.config)}
+        limit = self.descriptors
+        self.process = subprocess.Popen(
+            [sys.executable, "-O", "-m", "pointgw"], env=environment, cwd=ROOT, stderr=self.log,
+            stdout=subprocess.DEVNULL,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (limit, limit)),
+        )  # fmt: skip
+
+    async def until_ready(self) -> bool:
+        """Asks with PING as the front does; False where it is not ready in time."""
+        starts, end = self.starts, self.started_at + 3 * READY_WITHIN
+        while time.monotonic() < end and self.starts == starts and self.alive():
+            if await self._answers_ping():
+                self.ready = True
+                self.ready_times.append(time.monotonic() - self.started_at)
+                return True
+            await asyncio.sleep(0.05)
+        return False
+
+    async def _answers_ping(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(self.host, PORT)
+        except OSError:
+            return False
+        try:
+            writer.write(b"PING\r\n")
+            return (await asyncio.wait_for(reader.readline(), 1.0)).startswith(b"PONG")
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            writer.close()
+
+    def alive(self) -> bool:
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def terminate(self) -> None:
+        self.stopping_at = time.monotonic()
+        self.signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        self.ready, self.stopping_at = False, time.monotonic()
+        if self.alive():  # else it ended by itself, and what it left unanswered is lost
+            self.killed_at[self.starts] = time.monotonic()
+        self.signal(signal.SIGKILL)
+
+    async def ended(self, within: float) -> bool:
+        """Whether the process ends in time."""
+        end = time.monotonic() + within
+        while time.monotonic() < end:
+            if not self.alive():
+                return True
+            await asyncio.sleep(0.01)
+        return False
+
+    def close(self) -> None:
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+        if self.log is not None:
+            self.log.close()
+        self.faults.close()
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,113 @@
+"""What a soak run's balancers are told: request classes, limits and rules, drawn from the run's seed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+from typing import Any
+
+ZONES = ("a", "b")
+CELLS = 4
+
+
+class Effect(Enum):
+    """What a repeated request does, by the settings' word."""
+
+    SAFE = "pure"
+    KEYED = "token"
+    UNSAFE = "side_effect"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """Times in seconds."""
+
+    name: str
+    effect: Effect
+    group: str  # of servers that know a keyed repeat: all, zone, cell
+    window: float
+    attempt_timeout: float
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """The settings of one run. Times in seconds."""
+
+    balancers: int
+    servers: int
+    classes: tuple[RequestClass, ...]
+    mode: str  # how the list is had: asked for, or pushed
+    may_cancel: bool
+    probes: bool
+    max_attempts: int
+    connect_timeout: float
+    drain_grace: float
+    ask_every: float
+    slow_start_share: float
+    warm_up: float
+    overload_factor: float
+    overload_window: float
+    server_connections: int  # that fill a warm server
+    arrivals: float  # requests a second, over all balancers
+    descriptors: int
+
+    def settings(self, number: int) -> dict[str, Any]:
+        """The object `settings` of the start-up file."""
+        profiles = [
+            {
+                "name": one.name, "semantics": one.effect.value, "group": one.group,
+                "dedupWindow": one.window * 1e3, "setupGoal": one.attempt_timeout * 1e3,
+                "clientTimeout": one.deadline * 1e3, "credit": 1.0,
+            }
+            for one in self.classes
+        ]  # fmt: skip
+        limits = {
+            "maxSetups": self.max_attempts, "probes": self.probes, "mayCancel": self.may_cancel,
+            "connectTimeout": self.connect_timeout * 1e3, "secondCopies": False, "retryAfter": True,
+            "maxRetryAfter": 1000.0,
+        }  # fmt: skip
+        rules = {
+            "askEvery": self.ask_every * 1e3, "stopSendingWithin": self.drain_grace * 1e3,
+            "coldFrom": self.slow_start_share, "cold": self.warm_up * 1e3,
+            "tipMultiple": self.overload_factor, "fall": self.overload_window * 1e3,
+        }  # fmt: skip
+        return {
+            "instances": self.balancers, "me": number, "zones": list(ZONES), "zone": number % len(ZONES),
+            "kinds": ["m"], "profiles": profiles, "tenants": [{"name": "acme"}],
+            "membershipMode": self.mode, "report": {"fields": ["busy", "rate", "x0"]},
+            "prices": {"probe": 0.003}, "limits": limits, "rules": rules,
+        }  # fmt: skip
+
+
+def draw(rng: Random, balancers: int, servers: int, descriptors: int) -> Deployment:
+    """A deployment within what the protocol page describes."""
+    stretch = rng.choice((0.6, 1.0, 1.6))
+    classes = (
+        RequestClass("view", Effect.SAFE, "all", 0.0, 0.3 * stretch, 1.8 * stretch),
+        RequestClass(
+            "sync", Effect.KEYED, rng.choice(("all", "zone", "cell")), rng.uniform(0.2, 2.0), 0.3 * stretch,
+            1.8 * stretch,
+        ),
+        RequestClass("order", Effect.UNSAFE, "cell", 0.0, 0.4 * stretch, 1.8 * stretch),
+    )  # fmt: skip
+    return Deployment(
+        balancers=balancers,
+        servers=servers,
+        classes=classes,
+        mode=rng.choice(("subscribe", "subscribe", "automatic")),
+        may_cancel=rng.random() < 0.7,
+        probes=rng.random() < 0.8,
+        max_attempts=rng.choice((3, 4, 6)),
+        connect_timeout=rng.choice((0.06, 0.12, 0.25)),
+        drain_grace=rng.choice((0.1, 0.4, 0.5, 1.0)),
+        ask_every=10.0,
+        slow_start_share=rng.choice((0.13, 0.3)),
+        warm_up=rng.choice((6.0, 15.0)),
+        overload_factor=rng.choice((2.5, 3.0, 4.0)),
+        overload_window=rng.choice((1.0, 2.0)),
+        server_connections=40,
+        arrivals=4.0 * balancers,
+        descriptors=descriptors,
+    )
--- /dev/null
+++ b/tests/soak/disturbances.py
@@ -0,0 +1,164 @@
+"""What disturbs a soak run: each begins, lasts and is mended, whatever others do meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import signal
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import TYPE_CHECKING
+
+from soak import discovery, server
+from soak.syscall_faults import SHORTENED, Call
+
+if TYPE_CHECKING:
+    from soak.world import World
+
+Disturbance = Callable[["World", Random], Awaitable[None]]
+
+SOCKET_FAULTS = (
+    (Call.ACCEPT, (errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.EINTR, errno.ENOMEM)),
+    (Call.SOCKET, (errno.ENFILE, errno.EMFILE, errno.ENOBUFS)),
+    (Call.CONNECT, (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT)),
+    (Call.READ, (SHORTENED, errno.EINTR, errno.ETIMEDOUT, errno.EHOSTUNREACH)),
+    (Call.WRITE, (SHORTENED, errno.EINTR)),
+)  # fmt: skip
+
+
+async def planned_restart(world: World, rng: Random) -> None:
+    await world.restart(rng.choice(world.balancers), signal.SIGTERM)
+
+
+async def rolling_restart(world: World, rng: Random) -> None:
+    for balancer in rng.sample(world.balancers, k=max(2, len(world.balancers) // 3)):
+        world.background(world.restart(balancer, signal.SIGTERM))
+        await asyncio.sleep(rng.uniform(0.05, 0.5))
+
+
+async def kill(world: World, rng: Random) -> None:
+    await world.restart(rng.choice(world.balancers), signal.SIGKILL)
+
+
+async def mass_kill(world: World, rng: Random) -> None:
+    for balancer in rng.sample(world.balancers, k=max(2, len(world.balancers) // 2)):
+        world.background(world.restart(balancer, signal.SIGKILL))
+
+
+async def pause(world: World, rng: Random) -> None:
+    """Processes that stand still for a moment, as on a machine that is short of processors."""
+    for balancer in rng.sample(world.balancers, k=3):
+        balancer.signal(signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.02, 0.14))
+        balancer.signal(signal.SIGCONT)
+
+
+async def reload(world: World, rng: Random) -> None:
+    """New configurations in a row, each of which moves discovery."""
+    for balancer in rng.sample(world.balancers, k=max(2, len(world.balancers) // 2)):
+        for _ in range(rng.choice((1, 1, 3))):
+            world.move_discovery(balancer)
+            await asyncio.sleep(rng.uniform(0.0, 0.3))
+
+
+async def server_misbehaves(world: World, rng: Random) -> None:
+    behaviour = rng.choice([one for one in server.Behaviour if one is not server.Behaviour.SOUND])
+    hit = rng.sample(world.servers, k=rng.randint(1, max(1, len(world.servers) // 3)))
+    for one in hit:
+        one.behaviour = behaviour
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    for one in hit:
+        one.behaviour = server.Behaviour.SOUND
+
+
+async def servers_drain(world: World, rng: Random) -> None:
+    for one in rng.sample(world.servers, k=max(1, len(world.servers) // 4)):
+        world.drain(one)
+        await asyncio.sleep(rng.uniform(0.0, 0.2))
+    await asyncio.sleep(rng.uniform(1.0, 4.0))
+    for one in world.servers:
+        if one.draining:
+            world.undrain(one)
+
+
+async def servers_restart(world: World, rng: Random) -> None:
+    for one in rng.sample(world.servers, k=max(1, len(world.servers) // 4)):
+        world.background(world.restart_server(one, rng.uniform(0.2, 1.5), rng.uniform(0.0, 1.0)))
+
+
+async def discovery_fails(world: World, rng: Random) -> None:
+    sound = (discovery.Behaviour.SOUND,)
+    world.discovery.behave(rng.choice([one for one in discovery.Behaviour if one not in sound]))
+    await asyncio.sleep(rng.uniform(0.5, 7.0))
+    world.discovery.behave(discovery.Behaviour.SOUND)
+
+
+async def discovery_forms(world: World, rng: Random) -> None:
+    world.discovery.forms = tuple(rng.sample(list(discovery.Form), k=2))
+    await asyncio.sleep(rng.uniform(2.0, 6.0))
+    world.discovery.forms = (discovery.Form.PLAIN,)
+
+
+async def odd_entries(world: World, rng: Random) -> None:
+    """Entries of the list whose figures are out of range."""
+    for fields in ({"weight": None}, {"since_ms": -1}, {"weight": -2.0}, {"type": None}, {"group": "x"}):
+        one = rng.choice(world.servers)
+        world.discovery.change(one.name, world.now(), **fields)
+        await asyncio.sleep(0.1)
+
+
+async def burst(world: World, rng: Random) -> None:
+    usual = world.deployment.arrivals
+    world.arrivals = usual * rng.uniform(2.0, 5.0)
+    await asyncio.sleep(rng.uniform(0.5, 2.0))
+    world.arrivals = usual
+
+
+async def idle_crowd(world: World, rng: Random) -> None:
+    balancer = rng.choice(world.balancers)
+    for _ in range(rng.randint(50, 200)):
+        world.bad_client(balancer, b"", rng.uniform(2.0, 6.0))
+    await asyncio.sleep(1.0)
+
+
+async def bad_clients(world: World, rng: Random) -> None:
+    for _ in range(rng.randint(10, 60)):
+        world.bad_client(rng.choice(world.balancers), *world.draw_bad_data(rng))
+        await asyncio.sleep(rng.uniform(0.0, 0.05))
+
+
+async def clients_leave(world: World, rng: Random) -> None:
+    usual, world.share_leaving = world.share_leaving, 0.6
+    await asyncio.sleep(rng.uniform(0.5, 3.0))
+    world.share_leaving = usual
+
+
+async def system_calls_fail(world: World, rng: Random) -> None:
+    """For a moment, at some balancers, all calls of a kind or some. Interruptions are never all of them."""
+    call, faults = rng.choice(SOCKET_FAULTS)
+    fault, share, span = rng.choice(faults), rng.choice((0.02, 0.2, 1.0)), rng.choice((0.02, 0.1, 0.3))
+    if fault in (errno.EINTR, SHORTENED) or call is Call.READ:
+        share = min(share, 0.2)
+    hit = rng.sample(world.balancers, k=max(1, len(world.balancers) // 3))
+    world.schedule.append(f"{call.name} {errno.errorcode.get(fault, 'short')} {share} for {span}")
+    for balancer in hit:
+        balancer.faults.fail(call, fault, share)
+    await asyncio.sleep(span)
+    for balancer in hit:
+        balancer.faults.mend(call)
+
+
+async def wall_clock_steps(world: World, rng: Random) -> None:
+    """For good: nobody sets it back."""
+    for balancer in rng.sample(world.balancers, k=max(1, len(world.balancers) // 2)):
+        balancer.faults.step_wall_clock(rng.choice((-3600.0, -5.0, 5.0, 3600.0)))
+
+
+ALL: dict[str, Disturbance] = {
+    one.__name__: one
+    for one in (
+        planned_restart, rolling_restart, kill, mass_kill, pause, reload, server_misbehaves, servers_drain,
+        servers_restart, discovery_fails, discovery_forms, odd_entries, burst, idle_crowd, bad_clients,
+        clients_leave, system_calls_fail, wall_clock_steps,
+    )
+}  # fmt: skip
--- /dev/null
+++ b/tests/soak/records.py
@@ -0,0 +1,52 @@
+"""What a soak run saw of its requests, attempts and list changes, on one monotonic clock (seconds)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from soak.deployment import RequestClass
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request line that a server has read."""
+
+    request: str
+    server: str
+    balancer: int
+    began_at: float  # its first byte was read
+    read_at: float  # its last byte was read
+    never_ran: bool = False  # the server turned it away unexamined
+    may_overlap: bool = False  # seen at once with an earlier one that was still out
+    answered_at: float | None = None
+    ended_at: float | None = None  # its connection ended, or its sender ended sending on it
+
+
+@dataclass(slots=True)
+class Request:
+    """One request of a well-behaved client."""
+
+    name: str
+    kind: RequestClass
+    balancer: int
+    process: int  # the start of that balancer, counted
+    sent_at: float  # its last byte was handed to the system
+    patience: float
+    left_at: float | None = None  # its client gave up
+    answers: list[tuple[float, bytes]] = field(default_factory=list)
+    closed_at: float | None = None  # by the balancer
+    excused: bool = False  # the balancer was killed, or stopped by force, under it
+    attempts: list[Attempt] = field(default_factory=list)
+    crossing_shutdown: bool = False  # sent on a connection that the balancer was shutting
+
+
+@dataclass(slots=True)
+class Violation:
+    """A promise that was not kept."""
+
+    rule: str
+    request: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.rule}: {self.request}: {self.detail}"
--- /dev/null
+++ b/tests/soak/syscall_faults.py
@@ -0,0 +1,95 @@
+"""System calls of a balancer process that fail on demand, and its wall clock, by a preloaded library.
+
+The library (`syscall_faults.c`) is built with the system's compiler. A `SyscallFaults` is one process's
+control file: rules set in it hold from the next call on.
+"""
+
+from __future__ import annotations
+
+import mmap
+import os
+import struct
+import subprocess
+from enum import IntEnum
+from functools import cache
+from pathlib import Path
+from tempfile import gettempdir
+
+SOURCE = Path(__file__).with_suffix(".c")
+SHORTENED = -1  # in place of an errno: one byte is read or written
+RULE = struct.Struct("<iIIIII")
+WALL_OFFSET = struct.Struct("<q")
+NANOSECONDS = 1_000_000_000
+
+
+class Call(IntEnum):
+    """A system call, by its place in the control file."""
+
+    ACCEPT = 0
+    SOCKET = 1
+    CONNECT = 2
+    READ = 3
+    WRITE = 4
+    OPEN = 5
+    FSYNC = 6
+    RENAME = 7
+
+
+SIZE = WALL_OFFSET.size + len(Call) * RULE.size
+
+
+@cache
+def library() -> Path:
+    """The built library. Raises CalledProcessError where the compiler fails."""
+    built = Path(gettempdir()) / f"pointgw-syscall-faults-{os.getpid()}.so"
+    command = ["cc", "-O2", "-shared", "-fPIC", "-Wall", "-o", str(built), str(SOURCE), "-ldl"]
+    subprocess.run(command, check=True)
+    return built
+
+
+class SyscallFaults:
+    """The control file of one process."""
+
+    def __init__(self, path: Path, seed: int = 1) -> None:
+        self.path, self.seed = path, seed
+        path.write_bytes(bytes(SIZE))
+        self._file = path.open("r+b")
+        self._control = mmap.mmap(self._file.fileno(), SIZE)
+
+    def environment(self) -> dict[str, str]:
+        """What the process has to be started with."""
+        return {
+            "LD_PRELOAD": str(library()),
+            "SYSCALL_FAULTS_CONTROL": str(self.path),
+            "SYSCALL_FAULTS_SEED": str(self.seed),
+        }
+
+    def fail(self, call: Call, fault: int, share: float = 1.0, nth: int = 0, delay: float = 0.0) -> None:
+        """Hits a `share` of the calls, or the `nth` alone, by an errno or SHORTENED; `delay`: seconds."""
+        calls, hits = self.counts(call)
+        rule = RULE.pack(fault, round(share * 1e6), nth, round(delay * 1e6), calls, hits)
+        self._control[self._at(call) : self._at(call) + RULE.size] = rule
+
+    def mend(self, call: Call) -> None:
+        self.fail(call, 0)
+
+    def mend_all(self) -> None:
+        for call in Call:
+            self.mend(call)
+
+    def counts(self, call: Call) -> tuple[int, int]:
+        """Calls made, and those that were hit."""
+        *_, calls, hits = RULE.unpack_from(self._control, self._at(call))
+        return calls, hits
+
+    def step_wall_clock(self, seconds: float) -> None:
+        """Sets the wall clock that far off the true one."""
+        WALL_OFFSET.pack_into(self._control, 0, round(seconds * NANOSECONDS))
+
+    def close(self) -> None:
+        self._control.close()
+        self._file.close()
+
+    @staticmethod
+    def _at(call: Call) -> int:
+        return WALL_OFFSET.size + call * RULE.size
