Probe connections are bounded and make room: a wide fleet took all descriptors

Cause: each server once probed kept its connection (Node.probes, never closed but by the server), and the count went against clients in Node.came: with more servers than descriptors each new client was shut, or accept failed. Change: ProbePool: a quarter of the descriptors at most, the longest idle makes room, also for a client; a probe that found no connection in its time ends as moot and is not paid for.

--- a/pointgw/net/memory/effects.py
+++ b/pointgw/net/memory/effects.py
@@ -81,6 +81,13 @@
     connect_within: float
 
 
+@dataclass(frozen=True, slots=True)
+class ForgetServer:
+    """A server drains or is gone: a probe that waits for it is given up, its idle connection is closed."""
+
+    server: str
+
+
 @dataclass(frozen=True, slots=True)
 class Turn:
     """Discovery has another address; a call that is out is given up."""
@@ -126,6 +133,6 @@
 
 
 Effect = (
-    Connect | Write | Drop | Reply | Join | End | Move | Probe | Turn | Ask | Wake | StopIn | EndResting
-    | Exit
+    Connect | Write | Drop | Reply | Join | End | Move | Probe | ForgetServer | Turn | Ask | Wake | StopIn
+    | EndResting | Exit
 )  # fmt: skip
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -332,7 +332,10 @@
         lines: Iterable[Listed] = listing.servers
         if self.roster is not None and not cached:
             lines = self.roster.hear(lines, listing.addresses, listing.whole, self.now)
+        before = self.balancer.live
         self.balancer.listed(lines, listing.whole, cached, self.now)
+        if before is not self.balancer.live:
+            self.effects.extend(fx.ForgetServer(server.name) for server in before if not server.active)
 
     def _ask(self, hold: float, after: float = 0.0) -> None:
         if not self.asking:
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -35,7 +35,7 @@
 from pointgw.net.run.client import ClientSide
 from pointgw.net.run.discovery import DiscoverySide
 from pointgw.net.run.door import Door
-from pointgw.net.run.probe import ProbeSide
+from pointgw.net.run.probe_pool import ProbePool
 from pointgw.net.run.server import ServerSide
 from pointgw.net.wire.start import Start
 from pointgw.policy import Balancer
@@ -84,7 +84,7 @@
         self.turned_away: Counter[str] = Counter()
         self.clients: dict[int, ClientSide] = {}
         self.servers: dict[tuple[int, int], ServerSide] = {}
-        self.probes: dict[str, ProbeSide] = {}
+        self.probes = ProbePool(self, self.descriptors)
         self.discovery = DiscoverySide(self, start.discovery, start.names)
         self.numbers = count()
         self.queue: deque[Event] = deque()
@@ -119,7 +119,7 @@
         self.door.came(side)
         door = len(self.door.resting) + len(self.door.farewells)
         held = door + len(self.clients) + len(self.servers) + len(self.probes)
-        if held > self.descriptors and self.door.make_room() is not None:
+        if held > self.descriptors and not self.probes.close_idle() and self.door.make_room() is not None:
             self.refused("no descriptors", "others need its descriptor")
 
     def refused(self, kind: str, why: object) -> None:
@@ -270,9 +270,9 @@
                 if (server := self._server(effect)) is not None:
                     server.drop(False)
             case fx.Probe():
-                if effect.server not in self.probes:
-                    self.probes[effect.server] = ProbeSide(self)
-                self.probes[effect.server].ask(effect)
+                self.probes.ask(effect)
+            case fx.ForgetServer():
+                self.probes.forget(effect.server)
             case fx.Turn():
                 self.discovery.over(keep=False)
                 self.discovery = DiscoverySide(self, effect.address, effect.names)
--- a/pointgw/net/run/probe.py
+++ b/pointgw/net/run/probe.py
@@ -15,15 +15,16 @@
 
 if TYPE_CHECKING:
     from pointgw.net.run.node import Node
+    from pointgw.net.run.probe_pool import ProbePool
 
 
 class ProbeSide:
     """The one probe that is out, and the connection it goes out on."""
 
-    __slots__ = ("asked", "buffer", "link", "node", "reused", "task", "timer")
+    __slots__ = ("asked", "buffer", "link", "node", "pool", "reused", "server", "task", "timer")
 
-    def __init__(self, node: Node) -> None:
-        self.node = node
+    def __init__(self, node: Node, pool: ProbePool, server: str) -> None:
+        self.node, self.pool, self.server = node, pool, server
         self.asked: Probe | None = None  # the probe that is out
         self.reused = False  # it went out on a connection that had served before
         self.link: Link | None = None  # the one connection whose bytes count
@@ -73,6 +74,7 @@
             return
         if self.asked is None:
             self.close()  # nobody asked for it
+            self.pool.idle(self)
             return
         answer = lines.probe_line(line)
         if answer.spoilt:
@@ -85,6 +87,7 @@
         """Its connection has ended."""
         self.link = None
         if self.asked is None:
+            self.pool.idle(self)
             return
         if self.reused:  # the server has ended a connection that was idle: asked again on a new one
             self._open(self.asked)
@@ -97,9 +100,15 @@
             self.timer.cancel()
         if ending in ("timeout", "no-connection", "moot"):
             self.close()
+        self.pool.idle(self)
         if asked is not None:
             self.node.feed(Probed(asked.server, ending, report))
 
+    def give_up(self) -> None:
+        """Its server is to get nothing new, not even what waits for its connection to come up."""
+        self.close()
+        self._end("moot", {})
+
     def close(self) -> None:
         if self.task is not None:
             self.task.cancel()
--- /dev/null
+++ b/pointgw/net/run/probe_pool.py
@@ -0,0 +1,81 @@
+"""The connections that are kept for probes: bounded, so that they leave the descriptors to clients."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from pointgw.net.memory.effects import Probe
+from pointgw.net.memory.events import Probed
+from pointgw.net.run.probe import ProbeSide
+
+if TYPE_CHECKING:
+    from pointgw.net.run.node import Node
+
+SHARE = 1 / 4  # of the descriptors that this process may hold: clients and attempts need two thirds
+
+
+class ProbePool:
+    """One connection a server at most, and `limit` of them in all.
+
+    Where all are taken, the one that has been idle longest makes room. Where none is idle a probe waits; one
+    that can't go out in its own time ends as "moot", which says nothing of its server.
+    """
+
+    def __init__(self, node: Node, descriptors: int) -> None:
+        self.node = node
+        self.limit = max(1, int(descriptors * SHARE))
+        self.open: dict[str, ProbeSide] = {}  # by server; the least recently used first
+        self.waiting: dict[str, Probe] = {}  # until a connection is free, in the order they were asked for
+
+    def __len__(self) -> int:
+        return len(self.open)
+
+    def ask(self, probe: Probe) -> None:
+        """Sends a probe, now or as soon as a connection is free."""
+        side = self.open.pop(probe.server, None)
+        if side is None and len(self.open) >= self.limit and not self.close_idle():
+            self.waiting[probe.server] = probe
+            self.node.loop.call_later(probe.within, self._waited_too_long, probe)
+            return
+        side = side or ProbeSide(self.node, self, probe.server)
+        self.open[probe.server] = side
+        side.ask(probe)
+
+    def close_idle(self) -> bool:
+        """Closes the connection that has been idle longest; False where none is idle."""
+        idle = next((side for side in self.open.values() if side.asked is None), None)
+        if idle is None:
+            return False
+        self.open.pop(idle.server)
+        idle.close()
+        return True
+
+    def forget(self, server: str) -> None:
+        """The server is to get nothing new: what was asked of it is given up, its connection is closed."""
+        probe, side = self.waiting.pop(server, None), self.open.get(server)
+        if probe is not None:
+            self._give_up(probe)
+        if side is not None:
+            side.give_up()
+
+    def idle(self, side: ProbeSide) -> None:
+        """A probe has ended. A connection that is not kept makes room at once."""
+        if side.link is None and self.open.get(side.server) is side:
+            del self.open[side.server]
+        self._send_waiting()
+
+    def _send_waiting(self) -> None:
+        ready = deque(self.waiting.values())
+        while ready and (len(self.open) < self.limit or self.close_idle()):
+            probe = ready.popleft()
+            if self.waiting.pop(probe.server, None) is not None:
+                self.ask(probe)
+
+    def _waited_too_long(self, probe: Probe) -> None:
+        if self.waiting.get(probe.server) is probe:
+            del self.waiting[probe.server]
+            self._give_up(probe)
+
+    def _give_up(self, probe: Probe) -> None:
+        self.node.feed(Probed(probe.server, "moot", {}))
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -868,6 +868,8 @@
         ep.probing, ep.asked_at = False, now
         if ending == "ok":
             self._vouch(ep, now)
+        elif ending == "moot":  # it never went out
+            self.purse += self.probe_price
         if ending == "ok" and report:
             self._heard(ep, report, now)
             self._shed(ep, now)
