An entry of the list that can't be used hides no other; starts are held to the own clock

The start of a server was read by the wall clock of the process's start: off by an hour for good after a step. Change: each entry is read by itself, with what binds most in place of what can't be read; a server without an address gets nothing.

--- a/pointgw/net/memory/events.py
+++ b/pointgw/net/memory/events.py
@@ -77,9 +77,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """Discovery has answered."""
+    """Discovery has answered. `wall`: the wall clock then, in Unix seconds; None: as the process's clock."""
 
     listing: Listing
+    wall: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -31,6 +31,7 @@
     Told,
     Weighed,
 )
+from pointgw.net.memory.start_times import StartTimes
 from pointgw.net.wire.lines import Decline, Failure, Opening
 from pointgw.net.wire.listing import Listing
 from pointgw.net.wire.start import Start
@@ -116,11 +117,12 @@
         self.uniform = rng.uniform
         self.balancer = policy(replace(start.site, asks=True), self, rng, now)
         self.probe_within = self.balancer.goal / 2
+        self.start_times = StartTimes(start.site.cold_time)
         if recalled is None:
-            self._list(start.known, True)
+            self._list(start.known, True, now)
         else:
             self.index = None  # the whole list is asked for: who else counts its versions is not known
-            self._list(Listing(0, True, recalled.lines, recalled.addresses), True)
+            self._list(Listing(0, True, recalled.lines, recalled.addresses), True, now)
 
     def take(self, event: Event, now: float) -> list[fx.Effect]:
         """The one entry: changes the state and gives the effects, in order."""
@@ -303,7 +305,7 @@
     def _told(self, event: Told) -> None:
         self.asking, self.index, self.pause = False, event.listing.index, PAUSE_FIRST
         self._ask(self.hold)  # first, so that the watch goes on whatever the list holds
-        self._list(event.listing, False)
+        self._list(event.listing, False, self.now if event.wall is None else event.wall)
 
     def _list_failed(self, event: ListFailed) -> None:
         """Rule 3: asked again before what discovery has counts as told, apart from the others by chance."""
@@ -326,13 +328,15 @@
             self.effects.append(fx.Turn(event.discovery, event.names))
             self._ask(0.0)
 
-    def _list(self, listing: Listing, cached: bool) -> None:
+    def _list(self, listing: Listing, cached: bool, wall: float) -> None:
         for name, host, port in listing.addresses:
             self.addresses[name] = (host, port)
         lines: Iterable[Listed] = listing.servers
         if self.roster is not None and not cached:
             lines = self.roster.hear(lines, listing.addresses, listing.whole, self.now)
         before = self.balancer.live
+        lines = self.start_times.translate(lines, self.now, wall, not cached)
+        lines = [line if line.server in self.addresses else line._replace(state="leaving") for line in lines]
         self.balancer.listed(lines, listing.whole, cached, self.now)
         if before is not self.balancer.live:
             self.effects.extend(fx.ForgetServer(server.name) for server in before if not server.active)
--- /dev/null
+++ b/pointgw/net/memory/start_times.py
@@ -0,0 +1,57 @@
+"""Servers' starts, told in wall-clock time, as times of this process's monotonic clock. No I/O, no clock.
+
+Discovery tells when each server's process started as Unix time. The wall clock may step, at discovery
+and here, while a slow start is a span of real time. So each told start is translated once, when it is
+first heard, and is held to what this process saw itself: a start that it is told as news can't lie long
+before the last list that did not have it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from pointgw.interface import Listed
+from pointgw.net.wire.listing import UNUSABLE
+
+LONG_AGO = 0.0  # told for a server that is not starting
+
+SAME = 0.5  # seconds that the two clocks may drift apart without a step
+
+
+class StartTimes:
+    """`warm_up`: seconds after which it makes no difference when a server started."""
+
+    def __init__(self, warm_up: float) -> None:
+        self.warm_up = warm_up
+        self.told: dict[str, tuple[float, float]] = {}  # by server: the start as told, and as translated
+        self.heard_at: float | None = None  # when discovery told a list last; None: never yet
+
+    def translate(self, lines: Iterable[Listed], now: float, wall: float, heard: bool) -> Iterator[Listed]:
+        """Lines with their starts on this process's clock, which shows `now` as the wall clock shows `wall`.
+
+        `heard`: discovery has told them just now; False: they are of the start-up file.
+        """
+        since, self.heard_at = self.heard_at, now if heard else self.heard_at
+        for line in lines:
+            known = self.told.get(line.server)
+            if known is None or known[0] != line.started:
+                known = line.started, self._first_heard(line.started, known is not None, now, wall, since)
+                self.told[line.server] = known
+            yield line if known[1] == line.started else line._replace(started=known[1])
+
+    def _first_heard(
+        self, told: float, restarted: bool, now: float, wall: float, since: float | None
+    ) -> float:
+        """The start on this process's clock. A step shows as a difference between the clocks, and the told
+        time may be from before or after it. The latest start that is possible counts: it bears least."""
+        if told == LONG_AGO:
+            return LONG_AGO
+        if told == UNUSABLE:
+            return now
+        stepped = abs(wall - now) > SAME
+        ages = [age for age in (now - told, wall - told) if age >= 0.0] if stepped else [now - told]
+        age = min(ages, default=0.0)
+        longest = now - since + self.warm_up if since is not None and restarted else None
+        if age < 0.0 or (longest is not None and age > longest):
+            return now
+        return told if age == now - told else now - age
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING
 
 from pointgw.net.memory.effects import Ask
@@ -87,8 +88,10 @@
             self.failed(str(fault))
             return
         self.failing = False
+        if told.unusable:
+            self.node.refused("list entry", f"{told.unusable} that can't be used")
         self.over(keep=response.keeps_alive)
-        self.node.feed(Told(told))
+        self.node.feed(Told(told, time.time()))
 
     def failed(self, why: str, silent: bool = False) -> None:
         """Whatever was wrong, a call fails once, and its connection goes with it. `silent`: a watch of which
--- a/pointgw/net/wire/listing.py
+++ b/pointgw/net/wire/listing.py
@@ -16,6 +16,8 @@
 PATH = "/registry/instances"
 LARGEST = 4 * 1024 * 1024  # bytes of an answer
 LONGEST_HEAD = 64 * 1024  # bytes until its body begins, what came of that with it included
+UNUSABLE = -1.0  # in place of a start that can't be read
+UNKNOWN_CELL = -1  # of an entry whose group can't be read
 STATES: dict[str, Literal["active", "leaving", "left"]] = {
     "up": "active", "draining": "leaving", "removed": "left",
 }  # fmt: skip
@@ -37,40 +39,66 @@
     whole: bool
     servers: tuple[Listed, ...]
     addresses: tuple[tuple[str, str, int], ...]  # a server's name, its host and port
+    unusable: int = 0  # entries that were left out or read in part
 
 
 def listing(value: Any, names: Names) -> Listing:
+    """The list of an answer. Raises Malformed where it is none.
+
+    An entry that can't be used hides no other: guards rule 3, as all that the answer tells counts as told.
+    One without a name is left out; a figure or a status out of range is replaced by what binds most.
+    """
     servers: list[Listed] = []
     addresses: list[tuple[str, str, int]] = []
+    unusable = 0
     try:
-        for line in value["endpoints"]:
-            servers.append(
-                Listed(
-                    server=str(line["name"]),
-                    state=STATES.get(line["status"], "leaving"),  # an unknown word allows nothing new
-                    kind=_place(line.get("type"), names.kinds),
-                    cell=int(line.get("group") or 0),
-                    zone=_place(line.get("zone"), names.zones),
-                    started=_figure(line.get("since_ms") or 0) / 1e3,
-                    weight=_figure(line.get("weight", 1.0)),
-                )
-            )
-            if line.get("address"):
-                host, _, told = str(line["address"]).rpartition(":")
-                port = int(told)
-                if not 0 < port < 2**16:
-                    raise ValueError(f"port {port}")
-                addresses.append((str(line["name"]), host, port))
-        return Listing(int(value["index"]), bool(value["snapshot"]), tuple(servers), tuple(addresses))
-    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        index, whole, entries = int(value["index"]), bool(value["snapshot"]), iter(value["endpoints"])
+    except (KeyError, TypeError, ValueError, OverflowError) as fault:
         raise Malformed(f"expected a list of servers: {type(fault).__name__} {fault}") from None
+    for entry in entries:
+        if not isinstance(entry, dict) or not isinstance(entry.get("name"), str):
+            unusable += 1
+            continue
+        line, sound = _line(entry, names)
+        servers.append(line)
+        address = _address(entry.get("address"))
+        if address is not None:
+            addresses.append((line.server, *address))
+        unusable += not sound or (address is None and bool(entry.get("address")))
+    return Listing(index, whole, tuple(servers), tuple(addresses), unusable)
+
+
+def _line(entry: dict[str, Any], names: Names) -> tuple[Listed, bool]:
+    """One entry, and whether all of it could be read."""
+    started, weight = _figure(entry.get("since_ms") or 0), _figure(entry.get("weight", 1.0))
+    cell, status = _figure(entry.get("group") or 0), entry.get("status")
+    state = STATES.get(status, "leaving") if isinstance(status, str) else "leaving"
+    line = Listed(
+        server=entry["name"],
+        state=state,  # an unknown word allows nothing new
+        kind=_place(entry.get("type"), names.kinds),
+        cell=int(cell) if cell is not None else UNKNOWN_CELL,
+        zone=_place(entry.get("zone"), names.zones),
+        started=started / 1e3 if started is not None else UNUSABLE,
+        weight=weight if weight is not None else 1.0,
+    )
+    return line, None not in (started, weight, cell) and isinstance(status, str)
+
+
+def _figure(told: Any) -> float | None:
+    """A finite figure of nought or more; None: it is none."""
+    try:
+        figure = float(told)
+    except (TypeError, ValueError, OverflowError):
+        return None
+    return figure if 0.0 <= figure < math.inf else None
 
 
-def _figure(told: Any) -> float:
-    figure = float(told)
-    if not 0.0 <= figure < math.inf:
-        raise ValueError(f"a figure of {told}")
-    return figure
+def _address(told: Any) -> tuple[str, int] | None:
+    host, _, port = str(told).rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 2**16:
+        return None
+    return host, int(port)
 
 
 def _place(name: object, names: Sequence[str]) -> int:
--- a/tests/crossing/test_list_entries.py
+++ b/tests/crossing/test_list_entries.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import json
 from typing import Any
 
 from crossing.world import HeldLoop, World, play, turns, until
 from pointgw.net.run.node import Node
+from pointgw.net.wire.start import start
 
 ODD: tuple[dict[str, Any], ...] = (
     {"weight": None},
@@ -39,3 +41,24 @@
         assert node.discovery.failing is False
 
     play(scene, World(servers=3))
+
+
+def test_a_server_without_an_address_gets_nothing_and_the_others_serve() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        nameless = world.line(0, name="s-9") | {"address": ""}
+        world.watch.answer(2, nameless, world.line(0, status="draining"))
+        await until(lambda: node.reducer.index == 2)
+        assert not node.reducer.balancer.servers["s-9"].active
+        await world.opened()
+
+    play(scene, World(servers=2))
+
+
+def test_a_start_up_file_with_such_an_entry_starts() -> None:
+    world = World(servers=0)
+    world.discovery.port = 1
+    told = json.loads(world.told())
+    base = {"name": "s-0", "address": "127.0.0.1:7000", "zone": "a", "type": "m", "status": "up"}
+    told["known"]["endpoints"] = [base] + [base | {"name": f"s-{i}"} | odd for i, odd in enumerate(ODD, 1)]
+    begun = start(json.dumps(told).encode())
+    assert begun.known.servers[0].state == "active"
