--- a/pointgw/net/run/log.py
+++ b/pointgw/net/run/log.py
@@ -39,8 +39,8 @@
 class NonBlockingHandler(logging.Handler):
     """Writes to a descriptor that others share, so that it can't be made non-blocking itself.
 
-    Guards all clients against a log that nobody reads: a write to a full pipe would stop the event loop. A line
-    for which there is no room is dropped and counted; the next line that goes out is preceded by the count.
+    Guards all clients against a log that nobody reads: a write to a full pipe would stop the event loop.
+    A line for which there is no room is dropped and counted; the next that goes out tells the count first.
     """
 
     def __init__(self, descriptor: int = STANDARD_ERROR) -> None:
@@ -83,7 +83,7 @@
                 at += written
         except OSError:
             pass  # the reader has gone: as if there were no room
-        self.cut = at > 0 and at < len(data) or (self.cut and at == 0)
+        self.cut = 0 < at < len(data) or (self.cut and at == 0)
         return at == len(data)
 
     def _write_piece(self, piece: bytes) -> int:
