Connections are accepted by an accept loop of our own: a lack of descriptors cost who waited

Cause: on EMFILE and ENFILE the event loop's accept closes a spare descriptor and accepts and closes all that wait (soak: 'closed unanswered after 0.000 s'); with accept failing for long it span (1.8 million calls in 0.5 s). The last accepts of a stop ended at any error, and what was left in the backlog was reset by the close. Change: Listener: own accept in batches, a lack of ours waits 10 ms and makes room, a fault of one connection is passed over, a stop closes only once none waits.

--- a/benchmarks/filling_size.py
+++ b/benchmarks/filling_size.py
@@ -20,7 +20,6 @@
 sys.path.insert(0, str(Path(__file__).parent.parent / "tests"))
 
 from filling_world import World
-
 from pointgw.recovery.loans import Loans
 
 
--- a/pointgw/net/run/door.py
+++ b/pointgw/net/run/door.py
@@ -3,19 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Callable
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from pointgw.net.run import ends
 from pointgw.net.run.client import ClientSide
+from pointgw.net.run.listener import Listener
 from pointgw.net.wire.lines import Decline
 
 if TYPE_CHECKING:
     from pointgw.net.run.server import ServerSide
 
-BACKLOG = 1024  # clients that may come at once
 JUST_CAME = 0.1  # seconds in which the line of one that was just taken may still come, while leaving
 
 
@@ -27,39 +25,20 @@
         self.resting: dict[ClientSide, None] = {}  # those that have asked for no tunnel, oldest first
         # Those that are ended in order, and whose other side has not ended them yet; oldest first.
         self.farewells: dict[ClientSide | ServerSide, ends.Farewell] = {}
-        self.taking: set[asyncio.Task[None]] = set()  # those that were taken as listening ended
-        self.factory: Callable[[], ClientSide] | None = None
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
 
     # Taking.
 
-    async def open(self, address: tuple[str, int], factory: Callable[[], ClientSide]) -> None:
+    def open(
+        self, address: tuple[str, int], factory: Callable[[], ClientSide], make_room: Callable[[], object]
+    ) -> None:
         """Raises OSError where the address can't be had."""
-        self.factory = factory
-        self.socket = socket.create_server(address, backlog=BACKLOG)
-        self.socket.setblocking(False)
-        self.listener = await self.loop.create_server(factory, sock=self.socket)
-
-    def close(self) -> None:
-        """Guards clients whose connection the system has taken for us and we have not: they would be reset
-        with no answer. They are taken now, and answered like those before."""
-        if self.listener is None:
-            return
-        listener, self.listener = self.listener, None
-        taken: list[socket.socket] = []
-        with suppress(OSError):  # none is left, or no descriptor
-            while len(taken) < BACKLOG:
-                taken.append(self.socket.accept()[0])
-        listener.close()
-        for sock in taken:
-            sock.setblocking(False)
-            self.taking.add(task := self.loop.create_task(self._take(sock)))
-            task.add_done_callback(self.taking.discard)
-
-    async def _take(self, sock: socket.socket) -> None:
-        assert self.factory is not None
-        with suppress(OSError):
-            await self.loop.connect_accepted_socket(self.factory, sock)
+        self.listener = Listener(self.loop, factory, make_room)
+        self.listener.open(address)
+
+    def close(self, force: bool = False) -> bool:
+        """No connection is taken any more; False: some still wait, and there was no room for them."""
+        return self.listener is None or self.listener.close(force)
 
     # Resting.
 
@@ -110,6 +89,7 @@
 
     def empty(self, now: float, over: bool) -> bool:
         """While the balancer leaves: whether nobody is left here. `over`: there is no more time."""
-        self.close()
+        closed = self.close(force=over)
         self.end_resting(now, 0.0 if over else JUST_CAME)
-        return not (self.resting or self.farewells or self.taking)
+        connecting = self.listener is not None and self.listener.connecting
+        return closed and not (self.resting or self.farewells or connecting)
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -119,7 +119,12 @@
         self.door.came(side)
         door = len(self.door.resting) + len(self.door.farewells)
         held = door + len(self.clients) + len(self.servers) + len(self.probes)
-        if held > self.descriptors and not self.probes.close_idle() and self.door.make_room() is not None:
+        if held > self.descriptors:
+            self._make_room()
+
+    def _make_room(self) -> None:
+        """Frees a descriptor for a client: an idle probe's first, then that of one that says nothing."""
+        if not self.probes.close_idle() and self.door.make_room() is not None:
             self.refused("no descriptors", "others need its descriptor")
 
     def refused(self, kind: str, why: object) -> None:
@@ -139,7 +144,7 @@
             self.reload()
         if self.reducer.pushed:  # rule 3: what the agent has counts as told from the first moment
             await self.heard
-        await self.door.open(self.start.listen, lambda: ClientSide(self))
+        self.door.open(self.start.listen, lambda: ClientSide(self), self._make_room)
         self._look()
         self._report()
         on = ":".join(str(part) for part in self.start.listen)
@@ -153,7 +158,7 @@
             voice = self.tiering.voice if self.tiering is not None else None
             await self.recovering.speak(self.reducer, self.loop, self.now, self.start.seed, voice)
         await self.ended
-        self.door.close()
+        self.door.close(force=True)
         if self.tiering is not None:
             self.tiering.stop()
         if self.recovering is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,10 @@
 
 from pathlib import Path
 
-import known_red
 import pytest
 
+import known_red
+
 FILE = "KNOWN-RED.txt"
 
 
--- a/tests/crossing/world.py
+++ b/tests/crossing/world.py
@@ -162,7 +162,10 @@
     @property
     def listen(self) -> int:
         """The balancer's own port: it takes a free one, so that runs beside one another don't meet."""
-        self._listen = self._listen or int(self.node.door.socket.getsockname()[1])
+        if not self._listen:
+            listener = self.node.door.listener
+            assert listener is not None and listener.socket is not None
+            self._listen = int(listener.socket.getsockname()[1])
         return self._listen
 
     def line(self, i: int, **changes: Any) -> dict[str, Any]:
--- a/tests/filling_world.py
+++ b/tests/filling_world.py
@@ -15,11 +15,10 @@
 from random import Random
 
 from helpers import Notes, site
-from virtual_clock import VirtualClock
-
 from pointgw.interface import Listed
 from pointgw.policy import COLD_SAFE, Balancer, Server, State, Tunnel
 from pointgw.recovery.loans import Loans
+from virtual_clock import VirtualClock
 
 WARM = 60  # tunnels that a warm server bears
 STEP = 0.05  # seconds
--- a/tests/gathering_world.py
+++ b/tests/gathering_world.py
@@ -14,10 +14,9 @@
 from random import Random
 
 from helpers import Notes, site
-from virtual_clock import VirtualClock
-
 from pointgw.interface import Listed
 from pointgw.policy import Balancer, Server, Tunnel
+from virtual_clock import VirtualClock
 
 STEP = 0.1  # seconds between two ticks
 ANSWER = 0.02  # seconds that a probe, or a setup, takes
--- a/tests/test_filling.py
+++ b/tests/test_filling.py
@@ -5,9 +5,9 @@
 from random import Random
 
 import pytest
+
 from filling_world import START, STEP, World
 from helpers import Notes, site
-
 from pointgw.interface import Listed
 from pointgw.policy import Balancer, Server
 
--- a/tests/test_gathering.py
+++ b/tests/test_gathering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pytest
+
 from gathering_world import World
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 import pytest
-from helpers import Notes, balancer, cold, site, tunnel
 
+from helpers import Notes, balancer, cold, site, tunnel
 from pointgw.interface import Listed, Profile
 from pointgw.policy import (
     AWAY,
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -10,10 +10,10 @@
 
 import msgspec
 import pytest
-from filling_world import World
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from filling_world import World
 from pointgw import checked, operators
 from pointgw.interface import Profile
 from pointgw.net.run.recovering import Recovering
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -3,8 +3,8 @@
 from typing import Any
 
 import pytest
-from helpers import site
 
+from helpers import site
 from pointgw.interface import Listed, Profile
 from pointgw.net.memory import effects as fx
 from pointgw.net.memory import events as ev
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -16,7 +16,6 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from tier_world import KEY, KINDS, World
 
 from pointgw import checked, operators
 from pointgw.command.main import command
@@ -30,6 +29,7 @@
 from pointgw.tier.plan import Kind, Plan, Ways
 from pointgw.tier.run import Voice
 from pointgw.tier.wire import Keys, Packet, Refused
+from tier_world import KEY, KINDS, World
 
 OLD_KEY = b"o" * 32
 THREE = Ways((0, 0, 1), {}, {})
