--- a/tests/crossing/test_shutdown.py
+++ b/tests/crossing/test_shutdown.py
@@ -246,20 +246,16 @@
 # Signals to a real process, which itself tells where it is: it sends them to itself at the named step.
 
 TERM_AS_IT_LISTENS = """
-import asyncio, os, signal, uvloop
-import pointgw.net.run.node as node
+import os, signal
+from pointgw.net.run.listener import Listener
 
-class Loop(uvloop.Loop):
-    async def create_server(self, *args, **named):
-        made = await super().create_server(*args, **named)
-        os.kill(os.getpid(), signal.SIGTERM)
-        return made
+real = Listener.open
 
-def run(main):
-    with asyncio.Runner(loop_factory=Loop) as runner:
-        runner.run(main)
+def listen(self, address):
+    real(self, address)
+    os.kill(os.getpid(), signal.SIGTERM)
 
-node.uvloop.run = run
+Listener.open = listen
 """
 HUP_AS_IT_LOADS = """
 import builtins, os, signal, sys
