--- a/tests/crossing/test_idle.py
+++ b/tests/crossing/test_idle.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import time
 from typing import Any
 
 import pytest
@@ -204,3 +205,15 @@
         assert await rests.line() == b"PONG\r\n"
 
     play(scene, World())
+
+
+def test_a_client_that_stops_amid_its_line_is_answered_within_three_seconds_of_coming() -> None:
+    # Also where clients wait longer than that for an answer.
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        began = time.monotonic()
+        amid, silent = await world.client(), await world.client()
+        amid.say(opening()[:20])
+        assert await amid.line() == b"ERR\r\n" and await silent.line() == b"ERR\r\n"
+        assert time.monotonic() - began < 3.0
+
+    play(scene, World(profile={"clientTimeout": 8000.0}))
--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -319,3 +319,32 @@
         await goes_to_the_other(node, world)
 
     play(scene, World(), seconds=30.0)
+
+
+def test_an_answer_that_the_connections_end_ends_is_told() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        told = {"index": 2, "snapshot": False, "endpoints": [world.line(0, status="draining")]}
+        body = json.dumps(told).encode()
+        conn = world.watch.conn
+        conn.say(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + body[:20])
+        await turns()
+        assert node.reducer.index == 1  # it may still go on
+        conn.say(body[20:])
+        conn.end()
+        await until(lambda: node.reducer.index == 2, 0.2)
+        assert not node.reducer.balancer.servers["s-0"].active and not node.discovery.failing
+        world.watch = await world.discovery.call()
+        assert b"from=2" in world.watch.head
+
+    play(scene, World())
+
+
+def test_an_answer_that_its_connections_end_cuts_off_is_none() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        conn = world.watch.conn
+        conn.say(b'HTTP/1.1 200 OK\r\n\r\n{"index":2,"snapshot":false,"endpoi')
+        conn.end()
+        await until(lambda: node.discovery.failing)
+        assert node.reducer.index == 1
+
+    play(scene, World())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1285,3 +1285,12 @@
         ep.out_until = 110.0
     bal._learn(0.1)
     assert servers[2] in bal._with_room(tunnel(bal), servers, 100.0)
+
+
+def test_a_restart_that_is_told_while_a_setup_is_dialled_has_a_budget_of_its_own() -> None:
+    bal, _, (ep,) = balancer([0.1])
+    tun = tunnel(bal)
+    bal.arrived(tun, False, 100.0)
+    bal.listed([Listed(ep.name, "active", 0, 0, 0, 100.05, 1.0)], False, False, 100.1)
+    ep.budget, ep.budget_at = 0.0, 100.1
+    assert not bal.may_write(tun, 0, 100.11)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -299,3 +299,17 @@
     assert any(isinstance(e, fx.Ask) and e.hold > 0 for e in red.take(ev.Told(listing), 102.0))
     (connect,) = [e for e in arrive(red, now=102.0) if isinstance(e, fx.Connect)]
     assert connect.address == ("127.0.0.9", 9001)
+
+
+def test_after_a_reload_calls_that_fail_are_not_spaced_as_those_to_the_discovery_before() -> None:
+    # What the new one has counts as told four seconds after the signal.
+    red = reducer()
+    for now in (100.1, 101.0, 103.0, 107.0, 113.0):
+        red.take(ev.ListFailed(), now)
+        red.asking = False
+    red.take(ev.Reloaded(("127.0.0.1", 3), Names(("a",), ("k",))), 120.0)
+    now, calls = 120.0, 0
+    while now < 124.0:
+        (ask,) = [e for e in red.take(ev.ListFailed(), now) if isinstance(e, fx.Ask)]
+        now, calls = now + ask.after, calls + 1
+    assert calls >= 4
