Lists without a length, bad clients' three seconds, calls after a reload: three faults mended

After a reload the pause between failed calls stood at up to 5 s, but what the new discovery has counts as told after 4 s: it starts anew.

--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -335,6 +335,7 @@
         """Another discovery may count its versions anew, so the whole list is asked for."""
         if event.discovery != self.discovery:
             self.discovery, self.index, self.asking = event.discovery, None, False
+            self.pause = PAUSE_FIRST  # that the one before was out of reach says nothing of this one
             self.effects.append(fx.Turn(event.discovery, event.names))
             self._ask(0.0)
 
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -73,7 +73,10 @@
             self._answered(self.response)
 
     def lost(self) -> None:
-        self.failed("connection ended")
+        if self.asked is not None and self.response.ended():
+            self._answered(self.response)
+        else:
+            self.failed("connection ended")
 
     def _answered(self, response: listing.Response) -> None:
         if self.asked is None:
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -54,6 +54,7 @@
 LOOK = 0.25  # seconds between two looks for connections that bring nothing back
 REPORT = 10.0  # seconds between two lines of the log on how things stand
 FIRST_LINE = 0.5  # of the longest client timeout: how long a client may say nothing that can be used
+BAD_CLIENT_OWED = 3.0  # seconds from its connection within which a bad client has an error or a close
 SPARE = 1 / 8  # of the descriptors that are kept free of clients that say nothing
 OWN_FILES = 16  # descriptors of the process itself
 LEAST = 0.001  # seconds: what the loop's clock can tell apart
@@ -82,7 +83,8 @@
         self.shift = time.time() - time.monotonic()  # servers' starts are told in the time of day
         self.reducer = self._reducer(policy)
         self.slow_after = self.reducer.balancer.goal / 3
-        self.first_within = FIRST_LINE * self.reducer.longest
+        self.line_within = min(self.reducer.longest, BAD_CLIENT_OWED - 2 * LOOK)
+        self.first_within = min(FIRST_LINE * self.reducer.longest, self.line_within)
         self.allowed = _allowed(start.descriptors)
         self.descriptors = int(self.allowed * (1 - SPARE)) - OWN_FILES
         self.door = Door(loop, self.reducer.longest)
@@ -360,7 +362,7 @@
             server.look(now)
         for side in list(self.door.resting):
             # One whose line has come and was not read yet is not silent; one amid its line has longer.
-            within = self.reducer.longest if side.buffer else self.first_within
+            within = self.line_within if side.buffer else self.first_within
             if now - side.came > within and not ends.unread(side.transport):
                 side.refuse("silent", "expected a first line in time")
 
--- a/pointgw/net/wire/listing.py
+++ b/pointgw/net/wire/listing.py
@@ -130,6 +130,7 @@
         self.data = bytearray()
         self.head = 0  # bytes that came since the answer began, until its body
         self.done = self.in_body = self.keeps_alive = False
+        self.sized = False  # its head tells where the body ends; else the end of the connection does
 
     def feed(self, data: bytes) -> None:
         if not self.in_body:
@@ -145,7 +146,10 @@
         if self.done:
             raise ValueError("another answer after the one that was asked for")
         self.data.clear()
-        self.in_body = False
+        self.in_body = self.sized = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.sized = self.sized or name.lower() in (b"content-length", b"transfer-encoding")
 
     def on_headers_complete(self) -> None:
         self.in_body = True
@@ -159,6 +163,10 @@
         self.done, self.in_body, self.head = True, False, 0
         self.keeps_alive = self.parser.should_keep_alive()  # told here only: afterwards it is always False
 
+    def ended(self) -> bool:
+        """The connection has ended; True: an answer was whole with that (RFC 9112, 6.3)."""
+        return self.in_body and not self.sized
+
     def take_done(self) -> bool:
         done, self.done = self.done, False
         return done
