--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,12 +1,13 @@
 from __future__ import annotations
 
+from dataclasses import replace
 from math import inf
 from random import Random
 from typing import Any
 
 import pytest
 
-from helpers import Notes, balancer, cold, site, tunnel
+from helpers import REPEATABLE, Notes, balancer, cold, site, tunnel
 from pointgw.interface import Listed, Profile
 from pointgw.policy import (
     AWAY,
@@ -1130,9 +1131,7 @@
     return bal, notes, servers
 
 
-@pytest.mark.parametrize(
-    ("load", "within"), [(0.0, 16), (0.3, 11), (FULL, 5), (LEVEL - 0.01, 3), (LEVEL, 0)]
-)
+@pytest.mark.parametrize(("load", "within"), [(0.0, 16), (0.3, 11), (FULL, 5), (LEVEL - 0.01, 3), (LEVEL, 0)])
 @pytest.mark.parametrize("left", [3.0, 1.6])
 def test_while_the_fleet_is_renewed_a_group_goes_the_farther_from_home_the_more_room_is_there(
     load: float, within: int, left: float
@@ -1294,3 +1293,14 @@
     bal.listed([Listed(ep.name, "active", 0, 0, 0, 100.05, 1.0)], False, False, 100.1)
     ep.budget, ep.budget_at = 0.0, 100.1
     assert not bal.may_write(tun, 0, 100.11)
+
+
+def test_a_silent_server_is_left_in_time_also_where_setup_goals_are_long() -> None:
+    bal, notes, _ = balancer([0.1, 0.1], profiles=(replace(REPEATABLE, setup_goal=2.0, client_timeout=9.0),))
+    tun = tunnel(bal)
+    bal.arrived(tun, False, 100.0)
+    bal.opened(tun, 0, 100.1)
+    bal.silent(tun, 5.0, 105.2)
+    assert "move" not in notes.words()
+    bal.silent(tun, 6.1, 106.3)
+    assert "move" in notes.words()
