A moment without a route ejects no server; a disk that hangs holds up no stop

RouteEvidence holds a missing route against a server only if another was reached since it last failed so. Now a daemon thread; the folder stays claimed while a write is out; an old generation that can't be removed fails no save.

--- a/pointgw/net/run/ends.py
+++ b/pointgw/net/run/ends.py
@@ -3,27 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import fcntl
 import select
 import socket
 import struct
 import termios
 
-from pointgw.interface import Ending
-
 FULL_BUFFER = 16 * 1024  # bytes waiting for one side after which the other is not read
 LINGER = 0.25  # seconds that the other side has to end once it got its last line, where nothing else is said
 PACE = 0.01  # seconds between two buffers of a flood that is read and dropped
-OUR_OWN = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 NO_LINGER = struct.pack("ii", 1, 0)
 
 
-def no_connection(fault: OSError) -> Ending:
-    """Guards against a server that is held to be at fault where we have no descriptor to reach it by."""
-    return "moot" if fault.errno in OUR_OWN else "no-connection"
-
-
 def reset(transport: asyncio.Transport) -> None:
     """Ends it so that the other side sees it broken."""
     sock = transport.get_extra_info("socket")
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -31,6 +31,7 @@
     Told,
 )
 from pointgw.net.memory.reducer import STANDING, Reducer
+from pointgw.net.memory.route import RouteEvidence
 from pointgw.net.run import ends
 from pointgw.net.run.client import ClientSide
 from pointgw.net.run.discovery import DiscoverySide
@@ -98,7 +99,7 @@
         self.feeding = False
         self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
-        self.requests = RequestLog()
+        self.requests, self.route = RequestLog(), RouteEvidence()
         self.look = Periodic(loop, "look", lambda: LOOK, self._look)
         self.report = Periodic(loop, "report", self._report_interval, self._report)
         self.leave: Periodic | None = None
--- a/pointgw/net/run/probe.py
+++ b/pointgw/net/run/probe.py
@@ -8,7 +8,6 @@
 from pointgw.interface import Ending, Report
 from pointgw.net.memory.effects import Probe
 from pointgw.net.memory.events import Probed
-from pointgw.net.run import ends
 from pointgw.net.run.link import Link
 from pointgw.net.wire import lines
 from pointgw.site import Malformed
@@ -47,21 +46,22 @@
         self.buffer.clear()
         self.link = link = Link(self)
         self.task = self.node.loop.create_task(self._connect(probe, link))
-        self.node.loop.call_later(probe.connect_within, self._undialled, link, TimeoutError())
+        self.node.loop.call_later(probe.connect_within, self._undialled, probe, link, TimeoutError())
 
     async def _connect(self, probe: Probe, link: Link) -> None:
         try:
             await self.node.loop.create_connection(lambda: link, *probe.address)
         except OSError as fault:
-            self._undialled(link, fault)
+            self._undialled(probe, link, fault)
 
-    def _undialled(self, link: Link, fault: OSError) -> None:
+    def _undialled(self, probe: Probe, link: Link, fault: OSError) -> None:
         """A connection that had come up by then is judged by what comes on it."""
         if link is self.link and link.transport is None:
-            self._end(ends.no_connection(fault), {})
+            self._end(self.node.route.ending(fault, probe.address, self.node.now()), {})
 
     def up(self) -> None:
         if self.link is not None and self.asked is not None:
+            self.node.route.connected(self.asked.address, self.node.now())
             self.link.send(lines.STATS + lines.END)
 
     def heard(self, data: bytes) -> None:
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -48,10 +48,11 @@
             await self.node.loop.create_connection(lambda: self, *self.asked.address)
         except OSError as fault:
             if self.life.stage is Stage.DIALLING:
-                self._end(ends.no_connection(fault))
+                self._end(self.node.route.ending(fault, self.asked.address, self.node.now()))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        self.node.route.connected(self.asked.address, self.node.now())
         if self.life.stage is not Stage.DIALLING:
             self.transport.abort()  # given up while it came up
             return
--- a/pointgw/state/keeper.py
+++ b/pointgw/state/keeper.py
@@ -8,9 +8,11 @@
 
 import asyncio
 import logging
+import threading
 from collections.abc import Callable
-from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
 from dataclasses import dataclass
+from queue import SimpleQueue
 
 from pointgw.state.facts import Memory
 from pointgw.state.form import Newer, encode
@@ -25,6 +27,43 @@
 _log = logging.getLogger("pointgw.state")
 
 
+class WriterThread:
+    """One thread for calls that block. The process ends without it: a disk that hangs holds up no stop."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.work: SimpleQueue[tuple[Callable[[], int], asyncio.Future[int]]] = SimpleQueue()
+        self.thread: threading.Thread | None = None
+
+    def submit(self, work: Callable[[], int]) -> asyncio.Future[int]:
+        """Its result, or the exception that it raised."""
+        future: asyncio.Future[int] = self.loop.create_future()
+        if self.thread is None:
+            self.thread = threading.Thread(target=self._run, name="pointgw-state", daemon=True)
+            self.thread.start()
+        self.work.put((work, future))
+        return future
+
+    def _run(self) -> None:
+        while True:
+            work, future = self.work.get()
+            try:
+                result: int | Exception = work()
+            except Exception as fault:
+                result = fault
+            with suppress(RuntimeError):  # the loop has been closed meanwhile
+                self.loop.call_soon_threadsafe(self._done, future, result)
+
+    @staticmethod
+    def _done(future: asyncio.Future[int], result: int | Exception) -> None:
+        if future.done():
+            return
+        if isinstance(result, Exception):
+            future.set_exception(result)
+        else:
+            future.set_result(result)
+
+
 @dataclass(slots=True)
 class Figures:
     """What keeping the memory has cost."""
@@ -49,7 +88,7 @@
         loop: asyncio.AbstractEventLoop,
     ) -> None:
         self.store, self.take, self.news, self.loop = store, take, news, loop
-        self.pool = ThreadPoolExecutor(1, "pointgw-state")
+        self.writer = WriterThread(loop)
         self.figures = Figures()
         self.told = -1  # the news that the latest memory holds
         self.next_news = self.next_figures = loop.time()
@@ -58,17 +97,17 @@
         self.timer = loop.call_later(LOOK, self._look)
 
     def _look(self) -> None:
+        self.timer = self.loop.call_later(LOOK, self._look)  # first: a fault below must not end the chain
         now = self.loop.time()
         due = now >= self.next_figures or (self.news() != self.told and now >= self.next_news)
         if due and self.out is None:
             self._write(False)
-        self.timer = self.loop.call_later(LOOK, self._look)
 
     def _write(self, clean: bool) -> asyncio.Future[int]:
         now = self.loop.time()
-        self.told = self.news()
-        memory = self.take(clean)
-        self.out = self.loop.run_in_executor(self.pool, self._save, memory)
+        news, memory = self.news(), self.take(clean)
+        self.out = self.writer.submit(lambda: self._save(memory))
+        self.told = news
         self.out.add_done_callback(self._written)
         wait = max(NEWS_EVERY - 2 * LOOK, self.figures.size / max(1, self.figures.written) / BYTES_A_SECOND)
         self.next_news, self.next_figures = now + wait, now + max(wait, FIGURES_EVERY - LOOK)
@@ -105,10 +144,11 @@
                 if self.out is not None:
                     await asyncio.shield(self.out)
                 await asyncio.shield(self._write(clean))
-        except (TimeoutError, OSError):
-            _log.warning("last write late", extra={"fields": {"folder": self.store.folder}})
-        self.pool.shutdown(wait=False, cancel_futures=True)
-        self.store.release()
+        except (TimeoutError, OSError) as fault:
+            told = {"folder": self.store.folder, "why": f"{type(fault).__name__} {fault}".strip()}
+            _log.warning("last write late", extra={"fields": told})
+        if self.out is None or self.out.done():  # else the folder stays claimed until the process has ended
+            self.store.release()
 
 
 def begin(folder: str, who: str) -> tuple[Store, Found] | None:
--- a/pointgw/state/store.py
+++ b/pointgw/state/store.py
@@ -113,7 +113,8 @@
             for old in self._numbers(place):
                 if old <= number - KEPT:
                     self.step("unlink")
-                    os.unlink(f"{PREFIX}{old}", dir_fd=place)
+                    with suppress(OSError):  # what was saved is durable; the next save tries again
+                        os.unlink(f"{PREFIX}{old}", dir_fd=place)
         finally:
             os.close(place)
         return len(data)
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import json
 import logging
 import os
@@ -21,7 +20,6 @@
 from pointgw.faultbox.script import Rule, Script
 from pointgw.net.memory.effects import Effect, Wake
 from pointgw.net.memory.events import Event, Tick
-from pointgw.net.run import ends
 from pointgw.net.run.log import KeyValue
 from pointgw.net.run.node import Node
 from pointgw.net.wire.start import start
@@ -360,11 +358,6 @@
     with_node(echo, scene, way)
 
 
-def test_want_of_descriptors_is_not_a_servers_fault() -> None:
-    assert ends.no_connection(OSError(errno.EMFILE, "")) == "moot"
-    assert ends.no_connection(ConnectionRefusedError(errno.ECONNREFUSED, "")) == "no-connection"
-
-
 def test_a_fault_of_the_decisions_ends_one_tunnel_and_not_the_balancer(
     monkeypatch: Any, way: Script | None
 ) -> None:
