--- a/pointgw/net/run/listener.py
+++ b/pointgw/net/run/listener.py
@@ -46,7 +46,8 @@
             self._pause()
 
     def _accept(self, most: int = BATCH) -> bool:
-        """Takes connections that wait; False: the system has no room for the next one."""
+        """Takes connections that wait; False: the system has no room for the next one, or each try failed."""
+        failed = 0
         for _ in range(most):
             if self.socket is None:
                 return True
@@ -58,9 +59,10 @@
                 if fault.errno in LACKING:
                     self.failures += 1
                     return False
-                continue  # a fault of that one connection, which is gone with it: the next one
+                failed += 1  # a fault of that one connection, which is gone with it: the next one
+                continue
             self._begin(connection)
-        return True
+        return failed < most
 
     def _begin(self, connection: socket.socket) -> None:
         connection.setblocking(False)
--- a/tests/soak/balancer.py
+++ b/tests/soak/balancer.py
@@ -27,6 +27,7 @@
         self.number, self.host, self.folder, self.descriptors = number, host, folder, descriptors
         self.name = f"n{number}"
         self.config = folder / f"{self.name}.json"
+        self.operator = folder / f"{self.name}.toml"
         self.log_path = folder / f"{self.name}.log"
         self.faults = SyscallFaults(folder / f"{self.name}.faults", seed)
         self.process: subprocess.Popen[bytes] | None = None
@@ -46,12 +47,18 @@
         aside.write_text(json.dumps(told))
         aside.rename(self.config)
 
+    def keep_snapshots(self) -> None:
+        """From its next start on it keeps one, in a folder of its own that outlives it."""
+        self.operator.write_text(f'[state]\nfolder = "{self.folder / self.name}-state"\n')
+
     def start(self) -> None:
         self.starts += 1
         self.ready, self.stopping_at, self.started_at = False, None, time.monotonic()
         if self.log is None:
             self.log = self.log_path.open("ab")
         environment = os.environ | self.faults.environment() | {"GW_CONFIG": str(self.config)}
+        if self.operator.exists():
+            environment["GW_OPERATOR"] = str(self.operator)
         limit = self.descriptors
         self.process = subprocess.Popen(
             [sys.executable, "-O", "-m", "pointgw"], env=environment, cwd=ROOT, stderr=self.log,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -52,6 +52,7 @@
     server_connections: int  # that fill a warm server
     arrivals: float  # requests a second, over all balancers
     descriptors: int
+    snapshots: bool  # each balancer keeps one on disk
 
     def settings(self, number: int) -> dict[str, Any]:
         """The object `settings` of the start-up file."""
@@ -110,4 +111,5 @@
         server_connections=40,
         arrivals=4.0 * balancers,
         descriptors=descriptors,
+        snapshots=rng.random() < 0.4,
     )
