--- a/tests/crossing/test_probe_connections.py
+++ b/tests/crossing/test_probe_connections.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import json
-from contextlib import suppress
 from typing import Any
 
-from crossing.world import Conn, HeldLoop, World, opening, play, until
+from crossing.daemon import answer_requests
+from crossing.world import HeldLoop, World, opening, play, until
+from pointgw.net.memory.effects import Probe
 from pointgw.net.run.node import Node
 
 SERVERS = 600
@@ -27,22 +28,6 @@
         told["limits"] = {"sockets": DESCRIPTORS}
         return json.dumps(told).encode()
 
-    async def answer_all(self) -> None:
-        async with asyncio.TaskGroup() as group:
-            for peer in self.servers:
-                group.create_task(self._answer(peer, group))
-
-    async def _answer(self, peer: Any, group: asyncio.TaskGroup) -> None:
-        while True:
-            conn = await peer.taken.get()
-            group.create_task(self._converse(conn))
-
-    @staticmethod
-    async def _converse(conn: Conn) -> None:
-        with suppress(Exception):
-            while line := await conn.reader.readline():
-                conn.say(b"PONG x0=0.1,util=0.1\r\n" if line.startswith(b"STATS") else b"UP r-1\r\n")
-
 
 def kept(node: Node) -> int:
     return sum(side.link is not None for side in node.probes.open.values())
@@ -50,8 +35,7 @@
 
 def test_connections_kept_for_probes_leave_the_descriptors_to_clients() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
-        assert isinstance(world, Wide)
-        answering = asyncio.create_task(world.answer_all())
+        answering = asyncio.create_task(answer_requests(world))
         most = 0
         try:
             for number in range(REQUESTS):
@@ -69,8 +53,7 @@
 
 def test_a_server_that_is_to_get_nothing_more_keeps_no_connection_for_probes() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
-        assert isinstance(world, Wide)
-        answering = asyncio.create_task(world.answer_all())
+        answering = asyncio.create_task(answer_requests(world))
         try:
             for number in range(20):
                 client = await world.client()
@@ -85,3 +68,20 @@
             answering.cancel()
 
     play(scene, Wide(probes=True, rules={"cold": 1.0}), seconds=30.0)
+
+
+def test_a_server_that_moved_is_not_probed_where_it_was() -> None:
+    async def scene(node: Node, world: World, loop: HeldLoop) -> None:
+        answering = asyncio.create_task(answer_requests(world))
+        try:
+            address = ("127.0.0.1", world.servers[0].port)
+            node.probes.ask(Probe("s-0", address, 0.5, 0.5))
+            await until(lambda: "s-0" in node.probes.open and node.probes.open["s-0"].asked is None)
+            moved = ("127.0.0.1", world.servers[1].port)
+            taken = len(world.servers[1].conns)
+            node.probes.ask(Probe("s-0", moved, 0.5, 0.5))
+            await until(lambda: len(world.servers[1].conns) > taken)
+        finally:
+            answering.cancel()
+
+    play(scene, World())
