A taken address is waited for, a refused file read again, a moved server's probe dialled anew

Each was the first failure taken for the last: exit 1 where an outgoing connection or the process before had the port for a moment; a SIGHUP that came while the file was half written was refused for good, though what the new discovery has counts as told after 4 s (now read again every 0.25 s for 2 s); a kept probe connection went on asking the address that its server had left. Limits that are no number end in one line, not in a traceback.

--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -60,6 +60,8 @@
 OWN_FILES = 16  # descriptors of the process itself
 LEAST = 0.001  # seconds: what the loop's clock can tell apart
 LEAVE = 0.01  # seconds between two looks whether the last connections have ended
+BIND_WITHIN, BIND_AGAIN = 8.0, 0.25  # seconds for which an address that is taken is tried; between two tries
+READ_AGAIN, READ_TRIES = 0.25, 8  # seconds until a start-up file that was refused is read again; how often
 ANSWER_SLACK = 0.25  # seconds after its deadline from which a request without an answer is a fault
 AGAIN = 0.1  # seconds until a step of the stop that failed is tried again
 
@@ -99,6 +101,7 @@
         self.feeding = False
         self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
+        self.rereads = 0  # signals to read the files again
         self.requests, self.route = RequestLog(), RouteEvidence()
         self.look = Periodic(loop, "look", lambda: LOOK, self._look)
         self.report = Periodic(loop, "report", self._report_interval, self._report)
@@ -168,7 +171,7 @@
             self.reload()
         if self.reducer.pushed:  # rule 3: what the agent has counts as told from the first moment
             await self.heard
-        self.door.open(self.start.listen, lambda: ClientSide(self), self._make_room)
+        await self._listen()
         self.look.start()
         self.report.run()
         on = ":".join(str(part) for part in self.start.listen)
@@ -196,6 +199,19 @@
         if self.remembering is not None:
             await self.remembering.stop()
 
+    async def _listen(self) -> None:
+        """Raises OSError where the address stays taken, as by the process before or by a connection."""
+        until = self.now() + BIND_WITHIN
+        while True:
+            try:
+                self.door.open(self.start.listen, lambda: ClientSide(self), self._make_room)
+                return
+            except OSError as fault:
+                if self.now() >= until or self.stopping:
+                    raise
+                _log.warning("no address yet", extra={"fields": {"why": fault}})
+            await asyncio.sleep(BIND_AGAIN)
+
     def _leave(self, until: float) -> None:
         """The last steps: ends once all clients' connections have ended, or when the time is over."""
         over = self.now() >= until
@@ -230,17 +246,26 @@
             self.feed(Stopping())
 
     def reload(self) -> None:
-        """Takes over what has changed in the start-up file; one that can't be read changes nothing."""
+        """Takes over what has changed in the files; what can't be read changes nothing."""
         if self.stopping:
             return
+        self.rereads += 1
         if self.operated is not None:
             self.operated.again()
             if self.tiering is not None:
                 self.tiering.again(self.operated.told.tier)
+        self._read_start_up(self.rereads, READ_TRIES)
+
+    def _read_start_up(self, reread: int, tries: int) -> None:
+        """A file that is refused may still be being written: it is read again, until the next signal."""
+        if self.stopping or reread != self.rereads:
+            return
         try:
             told = self.again()
         except (OSError, Malformed) as fault:
-            _log.error("reload refused", extra={"fields": {"why": fault}})
+            _log.error("reload refused", extra={"fields": {"why": fault, "tries_left": tries}})
+            if tries:
+                self.loop.call_later(READ_AGAIN, self._read_start_up, reread, tries - 1)
             return
         fixed = ("name", "listen", "site")
         restart = [name for name in fixed if getattr(told, name) != getattr(self.start, name)]
--- a/pointgw/net/run/probe.py
+++ b/pointgw/net/run/probe.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from pointgw.interface import Ending, Report
-from pointgw.net.memory.effects import Probe
+from pointgw.net.memory.effects import Address, Probe
 from pointgw.net.memory.events import Probed
 from pointgw.net.run.link import Link
 from pointgw.net.wire import lines
@@ -20,10 +20,10 @@
 class ProbeSide:
     """The one probe that is out, and the connection it goes out on."""
 
-    __slots__ = ("asked", "buffer", "link", "node", "pool", "reused", "server", "task", "timer")
+    __slots__ = ("address", "asked", "buffer", "link", "node", "pool", "reused", "server", "task", "timer")
 
-    def __init__(self, node: Node, pool: ProbePool, server: str) -> None:
-        self.node, self.pool, self.server = node, pool, server
+    def __init__(self, node: Node, pool: ProbePool, server: str, address: Address) -> None:
+        self.node, self.pool, self.server, self.address = node, pool, server, address
         self.asked: Probe | None = None  # the probe that is out
         self.reused = False  # it went out on a connection that had served before
         self.link: Link | None = None  # the one connection whose bytes count
--- a/pointgw/net/run/probe_pool.py
+++ b/pointgw/net/run/probe_pool.py
@@ -34,11 +34,14 @@
     def ask(self, probe: Probe) -> None:
         """Sends a probe, now or as soon as a connection is free."""
         side = self.open.pop(probe.server, None)
+        if side is not None and side.address != probe.address:  # the server has moved
+            side.close()
+            side = None
         if side is None and len(self.open) >= self.limit and not self.close_idle():
             self.waiting[probe.server] = probe
             self.node.loop.call_later(probe.within, self._waited_too_long, probe)
             return
-        side = side or ProbeSide(self.node, self, probe.server)
+        side = side or ProbeSide(self.node, self, probe.server, probe.address)
         self.open[probe.server] = side
         side.ask(probe)
 
--- a/pointgw/net/wire/start.py
+++ b/pointgw/net/wire/start.py
@@ -65,14 +65,14 @@
             profiles=_names(settings.get("profiles")),
             tenants=_names(settings.get("tenants")),
             connect_within=seconds(fields, "limits.connectTimeout", 0.25),
-            descriptors=int((told.get("limits") or {}).get("sockets") or 0),
+            descriptors=max(0, int((told.get("limits") or {}).get("sockets") or 0)),
             known=listing(told["known"], names),
             number=int(settings.get("me", -1)),
             peers=tuple(_address(peer) for peer in told.get("peers") or ()),
             peer_listen=_address(told["peer_listen"]) if told.get("peer_listen") else None,
             stop_sending=seconds(fields, "rules.stopSendingWithin", 0.1),
         )
-    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as fault:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError, RecursionError) as fault:
         raise Malformed(f"expected the start-up JSON: {type(fault).__name__} {fault}") from None
 
 
--- a/tests/crossing/daemon.py
+++ b/tests/crossing/daemon.py
@@ -47,8 +47,11 @@
         return Conn(*await asyncio.open_connection(self.host, PORT))
 
     async def request(self, name: str, within: float = 2.0) -> bytes:
-        """The first line of the answer; nothing where none came, or the connection was broken."""
-        conn = await self.connect()
+        """The first line of the answer; nothing where none came, or there was no connection for it."""
+        try:
+            conn = await self.connect()
+        except OSError:
+            return b""
         conn.say(opening(name))
         try:
             return await asyncio.wait_for(conn.reader.readline(), within)
--- a/tests/crossing/test_start.py
+++ b/tests/crossing/test_start.py
@@ -9,8 +9,12 @@
 import time
 from pathlib import Path
 
+import pytest
+
 from crossing.daemon import PORT, Daemon, beside_daemon
 from crossing.world import Discovery, World
+from pointgw.net.wire.start import start
+from pointgw.site import Malformed
 
 
 def test_an_address_that_is_still_taken_is_waited_for(tmp_path: Path) -> None:
@@ -44,3 +48,14 @@
         moved_to.stop()
 
     beside_daemon(scene, tmp_path, World())
+
+
+@pytest.mark.parametrize("sockets", ["-5", "0", "1e999", '"x"', "null", "[]"])
+def test_limits_out_of_range_are_refused_in_words_or_bounded(sockets: str) -> None:
+    world = World(servers=0)
+    world.discovery.port = 1
+    told = world.told().decode()[:-1] + f', "limits": {{"sockets": {sockets}}}}}'
+    try:
+        assert start(told.encode()).descriptors >= 0
+    except Malformed as fault:
+        assert str(fault).startswith("expected the start-up JSON")
