Field terms for clients' connections: idle, lingering close, listener; modules of their own

Door becomes ClientConnections, resting idle, farewell a lingering close in its own module; no change of behaviour.

--- a/pointgw/net/memory/effects.py
+++ b/pointgw/net/memory/effects.py
@@ -121,7 +121,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EndResting:
+class EndIdle:
     """Ends the clients' connections on which nothing was asked for: this balancer stops."""
 
 
@@ -135,5 +135,5 @@
 
 Effect = (
     Connect | Write | Drop | Reply | Join | End | Move | Probe | ForgetServer | Turn | Ask | Wake | StopIn
-    | EndResting | Exit
+    | EndIdle | Exit
 )  # fmt: skip
--- a/pointgw/net/memory/reducer.py
+++ b/pointgw/net/memory/reducer.py
@@ -379,7 +379,7 @@
         if self.now < self.stop_at + ARRIVE_ON and rounds > 1:
             self.effects.append(fx.StopIn(STEP))
             return
-        self.effects.append(fx.EndResting())
+        self.effects.append(fx.EndIdle())
         standing = [c for c in self.clients.values() if c.tun.state is State.OPEN]
         for client in standing[: self._by_chance(len(standing) / rounds)]:
             self.balancer.left(client.tun, self.now)
--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -18,31 +18,31 @@
 
 
 class ClientSide(asyncio.Protocol):
-    __slots__ = ("buffer", "came", "due", "life", "node", "number", "request", "server", "transport")
+    __slots__ = ("accepted_at", "buffer", "due", "life", "node", "number", "request", "server", "transport")
 
     def __init__(self, node: Node) -> None:
-        self.node, self.came = node, node.now()
+        self.node, self.accepted_at = node, node.now()
         self.number = -1  # not given yet: no tunnel was asked for
         self.request, self.due = "-", 0.0  # its id; when it has to be answered at the latest
-        self.life = Life(Stage.RESTING)
+        self.life = Life(Stage.IDLE)
         self.buffer = bytearray()
         self.server: ServerSide | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.transport.set_write_buffer_limits(ends.FULL_BUFFER)
-        self.node.came(self)
+        self.node.accepted(self)
 
     def data_received(self, data: bytes) -> None:
         match self.life.stage:
             case Stage.JOINED:
                 assert self.server is not None
                 self.server.pass_on(data)
-            case Stage.RESTING | Stage.ASKED:
+            case Stage.IDLE | Stage.ASKED:
                 self.buffer += data
                 self._first_line()
             case Stage.HALF_CLOSED:  # sent on, it would be lost: its answer could not be told
-                self.node.door.dropped(self, len(data))
+                self.node.connections.dropped(self, len(data))
 
     def _first_line(self) -> None:
         try:
@@ -74,7 +74,7 @@
 
     def answer(self, answer: lines.Answer) -> None:
         """The final answer to a client that was not opened."""
-        if self.life.stage in (Stage.RESTING, Stage.ASKED):
+        if self.life.stage in (Stage.IDLE, Stage.ASKED):
             self._last(lines.answer_line(answer))
 
     def join(self, server: ServerSide, first: bytes) -> bool:
@@ -110,7 +110,7 @@
             ends.reset(self.transport)
         else:
             self.life.to(Stage.HALF_CLOSED)
-            self.node.door.farewell(self, self.transport)
+            self.node.connections.linger(self, self.transport)
 
     def fail(self) -> None:
         """Something of ours went wrong: an error to one that waits, a break to one that is open."""
@@ -134,7 +134,7 @@
             self.server.go_on()
 
     def eof_received(self) -> None:
-        if self.life.stage is Stage.RESTING and self.buffer:
+        if self.life.stage is Stage.IDLE and self.buffer:
             self.refuse("malformed", "expected the end of the first line")
         self._gone(False)
 
@@ -155,7 +155,7 @@
     def _gone(self, reset: bool) -> None:
         """The client has ended it. What it asked for and is not sent yet is not sent any more."""
         if not self.life.over:
-            asked = self.life.stage is not Stage.RESTING
+            asked = self.life.stage is not Stage.IDLE
             self.life.to(Stage.ENDED)
             self.server = None
             if asked:
--- a/pointgw/net/run/door.py
+++ b/pointgw/net/run/client_connections.py
@@ -1,4 +1,4 @@
-"""Connections without a tunnel: how they are taken, those that rest, and those that are being ended."""
+"""Clients' connections without a request: those that are idle, and those that are being closed."""
 
 from __future__ import annotations
 
@@ -8,26 +8,27 @@
 
 from pointgw.net.run import ends
 from pointgw.net.run.client import ClientSide
+from pointgw.net.run.lingering_close import LingeringClose
 from pointgw.net.run.listener import Listener
 from pointgw.net.wire.lines import Decline
 
 if TYPE_CHECKING:
     from pointgw.net.run.server import ServerSide
 
-JUST_CAME = 0.1  # seconds in which the line of one that was just taken may still come, while leaving
+JUST_ACCEPTED = 0.1  # seconds in which the line of one that was just accepted may still come, at a stop
 
 
-class Door:
-    """`linger`: seconds that the other side has to end a connection after its last line."""
+class ClientConnections:
+    """`linger_within`: seconds that the other side has to end a connection after its last line."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, linger: float) -> None:
-        self.loop, self.linger = loop, linger
-        self.resting: dict[ClientSide, None] = {}  # those that have asked for no tunnel, oldest first
+    def __init__(self, loop: asyncio.AbstractEventLoop, linger_within: float) -> None:
+        self.loop, self.linger_within = loop, linger_within
+        self.idle: dict[ClientSide, None] = {}  # those that have asked for no tunnel, oldest first
         # Those that are ended in order, and whose other side has not ended them yet; oldest first.
-        self.farewells: dict[ClientSide | ServerSide, ends.Farewell] = {}
+        self.lingering: dict[ClientSide | ServerSide, LingeringClose] = {}
         self.listener: Listener | None = None
 
-    # Taking.
+    # Accepting.
 
     def open(
         self, address: tuple[str, int], factory: Callable[[], ClientSide], make_room: Callable[[], object]
@@ -40,56 +41,56 @@
         """No connection is taken any more; False: some still wait, and there was no room for them."""
         return self.listener is None or self.listener.close(force)
 
-    # Resting.
+    # Idle.
 
-    def came(self, side: ClientSide) -> None:
-        self.resting[side] = None
+    def accepted(self, side: ClientSide) -> None:
+        self.idle[side] = None
 
-    def asked(self, side: ClientSide) -> None:
-        self.resting.pop(side, None)
+    def requested(self, side: ClientSide) -> None:
+        self.idle.pop(side, None)
 
     def gone(self, side: ClientSide | ServerSide) -> None:
         """Its connection has ended."""
         if isinstance(side, ClientSide):
-            self.resting.pop(side, None)
-        if side in self.farewells:
-            self.farewells.pop(side).over()
+            self.idle.pop(side, None)
+        if side in self.lingering:
+            self.lingering.pop(side).over()
 
     def make_room(self) -> ClientSide | None:
         """Gives up a connection for others: one that was answered and does not end, else the one that has
-        rested longest, which is given. One whose line has come but was not read yet stays."""
-        if self.farewells:
-            next(iter(self.farewells.values())).transport.abort()
+        been idle longest, which is given. One whose line has come but was not read yet stays."""
+        if self.lingering:
+            next(iter(self.lingering.values())).transport.abort()
             return None
-        oldest = next((side for side in self.resting if not ends.unread(side.transport)), None)
+        oldest = next((side for side in self.idle if not ends.unread(side.transport)), None)
         if oldest is not None:
-            del self.resting[oldest]
+            del self.idle[oldest]
             oldest.make_room()
         return oldest
 
-    def end_resting(self, now: float, age: float = 0.0) -> None:
+    def end_idle(self, now: float, age: float = 0.0) -> None:
         """What has come on one is read and answered first. What crosses our end is not sent on, and the line
         before that end tells its client that another try is harmless."""
-        for side in list(self.resting):
-            if now - side.came >= age and not ends.unread(side.transport):
+        for side in list(self.idle):
+            if now - side.accepted_at >= age and not ends.unread(side.transport):
                 side.answer(Decline(0.0))
 
-    # Ending.
+    # Closing.
 
-    def farewell(self, side: ClientSide | ServerSide, transport: asyncio.Transport) -> None:
+    def linger(self, side: ClientSide | ServerSide, transport: asyncio.Transport) -> None:
         if isinstance(side, ClientSide):
-            self.resting.pop(side, None)
+            self.idle.pop(side, None)
         if not transport.is_closing():
-            self.farewells[side] = ends.Farewell(transport, self.loop, self.linger)
+            self.lingering[side] = LingeringClose(transport, self.loop, self.linger_within)
 
     def dropped(self, side: ClientSide | ServerSide, size: int) -> None:
         """So many bytes came on one that is being ended."""
-        if side in self.farewells:
-            self.farewells[side].read(size)
+        if side in self.lingering:
+            self.lingering[side].read(size)
 
     def empty(self, now: float, over: bool) -> bool:
         """While the balancer leaves: whether nobody is left here. `over`: there is no more time."""
         closed = self.close(force=over)
-        self.end_resting(now, 0.0 if over else JUST_CAME)
+        self.end_idle(now, 0.0 if over else JUST_ACCEPTED)
         connecting = self.listener is not None and self.listener.connecting
-        return closed and not (self.resting or self.farewells or connecting)
+        return closed and not (self.idle or self.lingering or connecting)
--- a/pointgw/net/run/life.py
+++ b/pointgw/net/run/life.py
@@ -15,7 +15,7 @@
 class Stage(Enum):
     """Where a connection stands."""
 
-    RESTING = "resting"  # a client's: nothing was asked for
+    IDLE = "idle"  # a client's: nothing was asked for
     ASKED = "asked"  # a client's: its tunnel was asked for and is not answered
     DIALLING = "dialling"  # a server's: it is not up, or up and not a byte of the request was written
     WRITTEN = "written"  # a server's: the request was handed to the system
@@ -34,7 +34,7 @@
 
 
 NEXT = {
-    Stage.RESTING: (Stage.ASKED, Stage.HALF_CLOSED, Stage.ENDED),
+    Stage.IDLE: (Stage.ASKED, Stage.HALF_CLOSED, Stage.ENDED),
     Stage.ASKED: (Stage.JOINED, Stage.HALF_CLOSED, Stage.ENDED),
     Stage.DIALLING: (Stage.WRITTEN, Stage.ENDED),
     Stage.WRITTEN: (Stage.ANSWERED, Stage.ENDED),
--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -34,8 +34,8 @@
 from pointgw.net.memory.route import RouteEvidence
 from pointgw.net.run import ends
 from pointgw.net.run.client import ClientSide
+from pointgw.net.run.client_connections import ClientConnections
 from pointgw.net.run.discovery import DiscoverySide
-from pointgw.net.run.door import Door
 from pointgw.net.run.life import Stage
 from pointgw.net.run.periodic import Periodic, count_fault
 from pointgw.net.run.probe_pool import ProbePool
@@ -90,7 +90,7 @@
         self.first_within = min(FIRST_LINE * self.reducer.longest, self.line_within)
         self.allowed = _allowed(start.descriptors)
         self.descriptors = int(self.allowed * (1 - SPARE)) - OWN_FILES
-        self.door = Door(loop, self.reducer.longest)
+        self.connections = ClientConnections(loop, self.reducer.longest)
         self.turned_away: Counter[str] = Counter()
         self.clients: dict[int, ClientSide] = {}
         self.servers: dict[tuple[int, int], ServerSide] = {}
@@ -125,7 +125,7 @@
 
     def number(self, side: ClientSide) -> int:
         number = next(self.numbers)
-        self.door.asked(side)
+        self.connections.requested(side)
         self.clients[number] = side
         self.requests.step("arrived", side.request)
         return number
@@ -141,17 +141,17 @@
         """For the log."""
         return self.clients[client].request if client in self.clients else "-"
 
-    def came(self, side: ClientSide) -> None:
+    def accepted(self, side: ClientSide) -> None:
         """Guards against clients that hold descriptors and say nothing: the oldest make room for others."""
-        self.door.came(side)
-        door = len(self.door.resting) + len(self.door.farewells)
+        self.connections.accepted(side)
+        door = len(self.connections.idle) + len(self.connections.lingering)
         held = door + len(self.clients) + len(self.servers) + len(self.probes)
         if held > self.descriptors:
             self._make_room()
 
     def _make_room(self) -> None:
         """Frees a descriptor for a client: an idle probe's first, then that of one that says nothing."""
-        if not self.probes.close_idle() and self.door.make_room() is not None:
+        if not self.probes.close_idle() and self.connections.make_room() is not None:
             self.refused("no descriptors", "others need its descriptor")
 
     def refused(self, kind: str, why: object) -> None:
@@ -159,7 +159,7 @@
         _log.debug("refused", extra={"fields": {"kind": kind, "why": why}})
 
     def forget(self, side: ClientSide) -> None:
-        self.door.gone(side)
+        self.connections.gone(side)
         self.clients.pop(side.number, None)
 
     async def serve(self) -> None:
@@ -186,7 +186,7 @@
             await self.recovering.speak(self.reducer, self.loop, self.now, self.start.seed, voice)
         await self.ended
         self._stop_periodic()
-        self.door.close(force=True)
+        self.connections.close(force=True)
         unanswered = sum(side.life.stage is Stage.ASKED for side in self.clients.values())
         if unanswered:
             broken["closed_without_answer"] += unanswered
@@ -204,7 +204,7 @@
         until = self.now() + BIND_WITHIN
         while True:
             try:
-                self.door.open(self.start.listen, lambda: ClientSide(self), self._make_room)
+                self.connections.open(self.start.listen, lambda: ClientSide(self), self._make_room)
                 return
             except OSError as fault:
                 if self.now() >= until or self.stopping:
@@ -215,7 +215,7 @@
     def _leave(self, until: float) -> None:
         """The last steps: ends once all clients' connections have ended, or when the time is over."""
         over = self.now() >= until
-        if (self.door.empty(self.now(), over) and not self.clients) or over:
+        if (self.connections.empty(self.now(), over) and not self.clients) or over:
             self._set_ended()
 
     def _stop_periodic(self) -> None:
@@ -369,8 +369,8 @@
                 self.timer = self.loop.call_later(max(effect.delay, LEAST), self.feed, Tick())
             case fx.StopIn():
                 self.loop.call_later(effect.delay, self.feed, Stopping())
-            case fx.EndResting():
-                self.door.end_resting(self.now())
+            case fx.EndIdle():
+                self.connections.end_idle(self.now())
             case fx.Exit():
                 self._begin_leaving(self.now() + effect.within)
 
@@ -386,10 +386,10 @@
                 self._answer_overdue(side, now)
         for server in list(self.servers.values()):
             server.look(now)
-        for side in list(self.door.resting):
+        for side in list(self.connections.idle):
             # One whose line has come and was not read yet is not silent; one amid its line has longer.
             within = self.line_within if side.buffer else self.first_within
-            if now - side.came > within and not ends.unread(side.transport):
+            if now - side.accepted_at > within and not ends.unread(side.transport):
                 side.refuse("silent", "expected a first line in time")
 
     def _answer_overdue(self, side: ClientSide, now: float) -> None:
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -73,7 +73,7 @@
 
     def data_received(self, data: bytes) -> None:
         if self.life.over:
-            self.node.door.dropped(self, len(data))
+            self.node.connections.dropped(self, len(data))
             return
         self.buffer += data
         if self.up is None:
@@ -161,7 +161,7 @@
         if reset:
             ends.reset(self.transport)
         elif joined:
-            self.node.door.farewell(self, self.transport)
+            self.node.connections.linger(self, self.transport)
         else:
             self.transport.abort()
 
@@ -209,4 +209,4 @@
         self._end(self.life.broken(), exc is not None)
         if self.life.stage is Stage.HALF_CLOSED:
             self.life.to(Stage.ENDED)
-        self.node.door.gone(self)
+        self.node.connections.gone(self)
--- a/pointgw/rig/clients.py
+++ b/pointgw/rig/clients.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from pointgw.net.run import ends
+from pointgw.net.run.lingering_close import finish
 from pointgw.net.wire.lines import END, cut
 from pointgw.rig import child
 from pointgw.rig.demand import Wish, back_off, wishes
@@ -271,7 +272,7 @@
         if self.transport is None or self.transport.is_closing():
             return
         if politely:
-            ends.finish(self.transport)
+            finish(self.transport)
         else:
             self.transport.abort()
 
--- a/pointgw/rig/server.py
+++ b/pointgw/rig/server.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from pointgw.net.run import ends
+from pointgw.net.run.lingering_close import finish
 from pointgw.net.wire.lines import END, MOVE, cut
 from pointgw.rig import child
 from pointgw.rig.machine import Health, Held, Machine, Make
@@ -131,7 +132,7 @@
         if reset:
             ends.reset(self.transport)
         elif by == "server":
-            ends.finish(self.transport)
+            finish(self.transport)
         else:
             self.transport.close()
 
--- a/tests/crossing/test_hand_over.py
+++ b/tests/crossing/test_hand_over.py
@@ -155,7 +155,7 @@
         client, server = await world.opened()
         server.say(b"BYE\r\n")
         server.end()
-        await until(lambda: node.door.farewells)
+        await until(lambda: node.connections.lingering)
         client.say(b"more\r\n" * 1000)
         assert await client.rest() == b"BYE\r\n"
 
--- a/tests/crossing/test_idle.py
+++ b/tests/crossing/test_idle.py
@@ -111,7 +111,7 @@
 def test_a_line_that_is_there_as_the_first_lines_clock_comes_due_is_served() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         client = await world.client()
-        await until(lambda: node.door.resting)
+        await until(lambda: node.connections.idle)
         client.sock.setblocking(False)
         os.write(client.sock.fileno(), opening())  # in the balancer's socket, not read
         node.first_within = 0.0
@@ -127,18 +127,18 @@
 def test_a_line_that_is_there_as_its_descriptor_is_wanted_is_served() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         client = await world.client()
-        await until(lambda: len(node.door.resting) == 1)
-        came = node.came
+        await until(lambda: len(node.connections.idle) == 1)
+        came = node.accepted
 
         def hold(side: Any) -> None:
             os.write(client.sock.fileno(), opening())
             node.descriptors = 0
-            node.came = came  # type: ignore[method-assign]
+            node.accepted = came  # type: ignore[method-assign]
             came(side)
             node.descriptors = 500
 
         client.sock.setblocking(False)
-        node.came = hold  # type: ignore[method-assign]
+        node.accepted = hold  # type: ignore[method-assign]
         await world.client()
         _, server = await world.setup()
         await server.line()
@@ -152,7 +152,7 @@
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         client = await world.client()
         client.say(opening()[:20])
-        await until(lambda: [side for side in node.door.resting if side.buffer])
+        await until(lambda: [side for side in node.connections.idle if side.buffer])
         node.first_within = 0.0
         node._look()
         client.say(opening()[20:])
@@ -182,7 +182,7 @@
             client = await world.client()
             client.say(opening() + b"z" * 100_000 if i % 2 else b"z" * 200_000)
             (client.reset if i % 3 else client.close)()
-        await until(lambda: not node.clients and not node.door.resting and not node.door.farewells)
+        await until(lambda: not node.clients and not node.connections.idle and not node.connections.lingering)
         assert not node.servers and not node.reducer.clients
 
     play(scene, World())
@@ -194,13 +194,13 @@
         for conn in stay:
             conn.hold()
             conn.say(b"nonsense\r\n")
-        await until(lambda: len(node.door.farewells) == 6)
+        await until(lambda: len(node.connections.lingering) == 6)
         rests = await world.client()
-        await until(lambda: len(node.door.resting) == 1)
+        await until(lambda: len(node.connections.idle) == 1)
         node.descriptors = 7
         await world.opened()
-        await until(lambda: len(node.door.farewells) < 6)
-        assert len(node.door.resting) == 1
+        await until(lambda: len(node.connections.lingering) < 6)
+        assert len(node.connections.idle) == 1
         rests.say(b"PING\r\n")
         assert await rests.line() == b"PONG\r\n"
 
--- a/tests/crossing/test_shutdown.py
+++ b/tests/crossing/test_shutdown.py
@@ -46,7 +46,7 @@
         assert await client.line() == b"PONG\r\n"
         node.stop()
         if crosses:  # after our end, and before the client has read it
-            await until(lambda: node.door.farewells)
+            await until(lambda: node.connections.lingering)
             client.say(opening())
             await turns()
         got = await client.rest()  # guards against a reset that takes the answer with it
@@ -62,11 +62,11 @@
 
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         client = await world.client()
-        await until(lambda: node.door.resting)
+        await until(lambda: node.connections.idle)
         do = node._do
 
         def hold(effect: Any) -> None:
-            if isinstance(effect, fx.EndResting) and not client.writer.is_closing():
+            if isinstance(effect, fx.EndIdle) and not client.writer.is_closing():
                 client.sock.setblocking(False)
                 os.write(client.sock.fileno(), opening())
             do(effect)
@@ -113,7 +113,7 @@
         await until(lambda: side.transport.get_write_buffer_size() > 0)
         await turns(100)
         node.stop()
-        await until(lambda: side in node.door.farewells)
+        await until(lambda: side in node.connections.lingering)
         await asyncio.sleep(0.5)  # twice what it was given before
         client.go_on()
         got = await client.rest()
--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -74,10 +74,10 @@
     # Guards rule 3: the agent's news counts as told from the first moment of a process.
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         call = await world.discovery.call()
-        assert node.door.listener is None  # nobody is let in before
+        assert node.connections.listener is None  # nobody is let in before
         call.answer(2, world.line(0, status="draining"))
         watch = await world.discovery.call(call.conn)
-        await until(lambda: node.door.listener is not None)
+        await until(lambda: node.connections.listener is not None)
         await goes_to_the_other(node, world)
         # One watch after the other, and anew at once where one breaks.
         watch.conn.reset()
@@ -99,7 +99,7 @@
 def test_an_agent_that_says_nothing_does_not_keep_a_balancer_from_serving() -> None:
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         await world.discovery.call()
-        await until(lambda: node.door.listener is not None)
+        await until(lambda: node.connections.listener is not None)
         client = await world.client()
         client.say(b"PING\r\n")
         assert await client.line() == b"PONG\r\n"
@@ -111,7 +111,7 @@
     async def scene(node: Node, world: World, loop: HeldLoop) -> None:
         await world.discovery.call()
         node.stop()
-        await until(lambda: node.door.listener is not None, 1.0)  # on with its start, and so to its end
+        await until(lambda: node.connections.listener is not None, 1.0)  # on with its start
         await asyncio.wait_for(asyncio.shield(node.ended), 2)
 
     play(scene, World(mode="automatic"), first=False)
--- a/tests/crossing/world.py
+++ b/tests/crossing/world.py
@@ -163,7 +163,7 @@
     def listen(self) -> int:
         """The balancer's own port: it takes a free one, so that runs beside one another don't meet."""
         if not self._listen:
-            listener = self.node.door.listener
+            listener = self.node.connections.listener
             assert listener is not None and listener.socket is not None
             self._listen = int(listener.socket.getsockname()[1])
         return self._listen
@@ -263,7 +263,7 @@
                     call = await world.discovery.call()
                     call.answer(1)
                     world.watch = await world.discovery.call(call.conn)
-                    await until(lambda: node.door.listener is not None)
+                    await until(lambda: node.connections.listener is not None)
                 await scene(node, world, loop)
         finally:
             if not node.ended.done():
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -296,7 +296,7 @@
         silent = [await client() for _ in range(30)]
         await opened(client)
         # Guards against a process that has no descriptor left for a client that speaks.
-        assert len(node.door.resting) <= 8 and node.turned_away["no descriptors"] >= 20
+        assert len(node.connections.idle) <= 8 and node.turned_away["no descriptors"] >= 20
         assert await silent[0][0].read(-1) == b"BUSY\r\n"  # its line may be on its way
 
     with_node(echo, scene, way)
