--- /dev/null
+++ b/tests/soak/test_checker.py
@@ -0,0 +1,88 @@
+"""The checker sees each broken promise, on records made by hand."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import pytest
+
+from soak.checker import Checker, ServerStart
+from soak.deployment import Effect, RequestClass, draw
+from soak.discovery import Change
+from soak.records import Attempt, Request
+
+SENT = 100.0
+DUPLICATE = "duplicate"
+
+
+def kind(effect: Effect, group: str = "all") -> RequestClass:
+    return RequestClass("c", effect, group, 1.0, 0.3, 2.0)
+
+
+def request(effect: Effect = Effect.SAFE, group: str = "all", **fields: Any) -> Request:
+    made = Request("r", kind(effect, group), 0, 1, SENT, 2.0)
+    made.answers.append((SENT + 0.1, b"UP r"))
+    for name, value in fields.items():
+        setattr(made, name, value)
+    return made
+
+
+def attempt(server: str, at: float, **fields: Any) -> Attempt:
+    return Attempt("r", server, 0, at, at, **fields)
+
+
+def found(made: Request, changes: tuple[Change, ...] = (), starts: tuple[ServerStart, ...] = ()) -> list[str]:
+    told = draw(Random(1), 2, 3, 400)
+    checker = Checker(told, {"a": 0, "b": 0, "c": 1}, {"a": 0, "b": 1, "c": 2}, 0.0)
+    return [v.rule for v in checker.judge([made], list(changes), [], list(starts), {0: [0.0]})]
+
+
+@pytest.mark.parametrize(
+    ("made", "rules"),
+    [
+        (request(), []),
+        (request(answers=[], closed_at=SENT + 0.01), ["lost"]),
+        (request(answers=[]), ["lost"]),
+        (request(answers=[], excused=True), []),
+        (request(answers=[(SENT + 2.4, b"ERR")]), []),
+        (request(answers=[(SENT + 2.6, b"ERR")]), ["lost"]),
+        (request(answers=[(SENT, b"BUSY"), (SENT, b"UP r")]), ["second answer"]),
+        (request(left_at=SENT, attempts=[attempt("a", SENT + 0.09)]), []),
+        (request(left_at=SENT, attempts=[attempt("a", SENT + 0.11)]), ["attempt after leaving"]),
+        (request(attempts=[attempt("a", SENT), attempt("b", SENT + 0.3)]), []),
+        (request(attempts=[attempt("a", SENT, may_overlap=True)]), ["two attempts out"]),
+        (request(Effect.UNSAFE, attempts=[attempt("a", SENT), attempt("b", SENT + 0.3)]), [DUPLICATE]),
+        (
+            request(Effect.UNSAFE, attempts=[attempt("a", SENT, never_ran=True), attempt("b", SENT + 0.3)]),
+            [],
+        ),
+        (request(Effect.KEYED, attempts=[attempt("a", SENT), attempt("c", SENT + 0.9)]), []),
+        (request(Effect.KEYED, attempts=[attempt("a", SENT), attempt("c", SENT + 1.1)]), [DUPLICATE]),
+        (request(Effect.KEYED, "zone", attempts=[attempt("a", SENT), attempt("c", SENT + 0.3)]), [DUPLICATE]),
+        (request(Effect.KEYED, "zone", attempts=[attempt("a", SENT), attempt("b", SENT + 0.3)]), []),
+        (
+            request(Effect.UNSAFE, attempts=[attempt("a", SENT)], answers=[(SENT + 0.4, b"BUSY")]),
+            [DUPLICATE],
+        ),
+    ],
+)  # fmt: skip
+def test_each_broken_promise_of_a_request_is_seen(made: Request, rules: list[str]) -> None:
+    assert found(made) == rules
+
+
+def test_a_request_sent_to_a_draining_server_is_seen_after_the_grace_alone() -> None:
+    grace = draw(Random(1), 2, 3, 400).drain_grace
+    told = Change(2, "a", "draining", SENT - 1.0, {0: SENT - 1.0})
+    early = request(attempts=[attempt("a", SENT - 1.0 + grace)])
+    late = request(attempts=[attempt("a", SENT - 0.9 + grace)])
+    assert found(early, (told,)) == [] and found(late, (told,)) == ["drain"]
+    untold = Change(2, "a", "draining", SENT - 5.0)  # it counts as told six seconds after it was made
+    assert found(request(attempts=[attempt("a", SENT + 0.9)]), (untold,)) == []
+    assert found(request(attempts=[attempt("a", SENT + 1.1 + grace)]), (untold,)) == ["drain"]
+
+
+def test_too_much_for_a_server_that_has_just_started_is_seen() -> None:
+    many = [attempt("a", SENT + 0.01 * n) for n in range(60)]
+    assert "slow start" in found(request(attempts=many), starts=(ServerStart("a", SENT),))
+    assert "slow start" not in found(request(attempts=many[:5]), starts=(ServerStart("a", SENT),))
