--- a/pointgw/net/run/probe.py
+++ b/pointgw/net/run/probe.py
@@ -51,6 +51,7 @@
     async def _connect(self, probe: Probe, link: Link) -> None:
         try:
             await self.node.loop.create_connection(lambda: link, *probe.address)
+            self.node.route.connected(probe.address, self.node.now())
         except OSError as fault:
             self._undialled(probe, link, fault)
 
@@ -61,7 +62,6 @@
 
     def up(self) -> None:
         if self.link is not None and self.asked is not None:
-            self.node.route.connected(self.asked.address, self.node.now())
             self.link.send(lines.STATS + lines.END)
 
     def heard(self, data: bytes) -> None:
--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -26,6 +26,9 @@
     RESETS = "resets"  # breaks each call
 
 
+SWALLOWS = (Behaviour.SILENT, Behaviour.SLOW)
+
+
 class Form(Enum):
     """How an answer is written."""
 
@@ -165,6 +168,7 @@
         self.calls: dict[Call, None] = {}
         self.calls_made = 0
         self.unreachable: list[tuple[float, float]] = []  # spans in which it could not be reached
+        self.swallowing: list[tuple[float, float]] = []  # spans in which calls fell silent or came late
 
     async def listen(self, host: str, port: int) -> list[int]:
         """Two addresses a balancer, so that a new configuration can move it; gives the ports."""
@@ -184,6 +188,10 @@
         now = time.monotonic()
         was, self.behaviour = self.behaviour, behaviour
         sound = (Behaviour.SOUND, Behaviour.SLOW)
+        if was not in SWALLOWS and behaviour in SWALLOWS:
+            self.swallowing.append((now, float("inf")))
+        elif was in SWALLOWS and behaviour not in SWALLOWS:
+            self.swallowing[-1] = (self.swallowing[-1][0], now)
         if self._in_reach(was) and not self._in_reach(behaviour):
             self.unreachable.append((now, float("inf")))
         elif not self._in_reach(was) and self._in_reach(behaviour):
