--- /dev/null
+++ b/tests/soak/exhaustive.py
@@ -0,0 +1,154 @@
+"""One fixed day, played again for each system call that it makes, with just that call failing.
+
+`python -m soak.exhaustive` from `tests/`. The day: a start, a watch, ten requests, a drain, a reload, a
+snapshot, a stop; once for each effect of requests. Its calls are counted first; then it is played for each
+call and each error that the call documents. Exit 1: a request was lost or ran twice, or the process did not
+end in order.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import errno
+import shutil
+import signal
+import sys
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from tempfile import mkdtemp
+
+from crossing.daemon import Daemon, beside_daemon
+from crossing.world import World
+from soak.syscall_faults import SHORTENED, Call
+
+EFFECTS = ("pure", "token", "side_effect")
+REQUESTS = 10
+ENDS_WITHIN = 4.0  # seconds
+ERRORS: dict[Call, tuple[int, ...]] = {
+    Call.ACCEPT: (errno.ECONNABORTED, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EINTR, errno.EPROTO),
+    Call.SOCKET: (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM),
+    Call.CONNECT: (errno.ENETUNREACH, errno.EHOSTUNREACH, errno.EADDRNOTAVAIL, errno.ETIMEDOUT),
+    Call.READ: (SHORTENED, errno.EINTR, errno.ETIMEDOUT, errno.ECONNRESET),
+    Call.WRITE: (SHORTENED, errno.EINTR, errno.ENOSPC, errno.EIO),
+    Call.OPEN: (errno.ENOSPC, errno.EIO, errno.EMFILE),
+    Call.FSYNC: (errno.EIO, errno.ENOSPC),
+    Call.RENAME: (errno.EIO, errno.ENOSPC),
+}  # fmt: skip
+
+
+@dataclass(slots=True)
+class Day:
+    """What became of one play."""
+
+    effect: str
+    call: Call | None = None
+    fault: int = 0
+    nth: int = 0
+    answers: list[bytes] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    calls: dict[Call, int] = field(default_factory=dict)
+    hit: bool = False
+
+    def __str__(self) -> str:
+        name = errno.errorcode.get(self.fault, "short")
+        call = self.call.name if self.call is not None else "none"
+        return f"{self.effect} {call} {name} call {self.nth}: {self.broken}"
+
+
+def play(effect: str, call: Call | None = None, fault: int = 0, nth: int = 0) -> Day:
+    """Plays the day; the `nth` call of a kind fails."""
+    day = Day(effect, call, fault, nth)
+    folder = Path(mkdtemp(prefix="pointgw-day-"))
+    operator = folder / "operator.toml"
+    operator.write_text(f'[state]\nfolder = "{folder}/state"\n')
+    profile = {"semantics": effect, "dedupWindow": 1000.0}
+    try:
+        beside_daemon(
+            lambda daemon: _scene(daemon, day), folder, World(servers=4, probes=True, profile=profile),
+            {"GW_OPERATOR": str(operator)}, lambda daemon: _arm(daemon, day),
+        )  # fmt: skip
+    except Exception as fault_of_the_play:
+        day.broken.append(f"{type(fault_of_the_play).__name__} {fault_of_the_play}")
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+    return day
+
+
+def _arm(daemon: Daemon, day: Day) -> None:
+    """Before the process starts, as its own start makes calls too."""
+    if day.call is not None:
+        daemon.faults.fail(day.call, day.fault, nth=day.nth)
+
+
+async def _scene(daemon: Daemon, day: Day) -> None:
+    requests = [asyncio.create_task(daemon.request(f"r{number}")) for number in range(REQUESTS // 2)]
+    await asyncio.sleep(0.1)
+    daemon.world.watch.answer(2, daemon.world.line(3, status="draining"))
+    daemon.process.send_signal(signal.SIGHUP)
+    later = range(REQUESTS // 2, REQUESTS)
+    requests += [asyncio.create_task(daemon.request(f"r{number}")) for number in later]
+    day.answers = list(await asyncio.gather(*requests))
+    await asyncio.sleep(0.9)  # a snapshot of the drain is written
+    daemon.process.send_signal(signal.SIGTERM)
+    if not await daemon.ended(ENDS_WITHIN):
+        day.broken.append("did not end")
+    elif daemon.process.returncode != 0:
+        day.broken.append(f"exit {daemon.process.returncode}")
+    day.calls = {call: daemon.faults.counts(call)[0] for call in Call}
+    day.hit = day.call is not None and daemon.faults.counts(day.call)[1] > 0
+    _judge(daemon, day)
+
+
+def _judge(daemon: Daemon, day: Day) -> None:
+    for number, answer in enumerate(day.answers):
+        if not answer.startswith((b"UP ", b"BUSY", b"ERR")):
+            day.broken.append(f"r{number} had no answer")
+    if day.effect == "side_effect":
+        twice = [name for name, count in Counter(daemon.served).items() if count > 1]
+        day.broken.extend(f"{name} ran twice" for name in twice)
+    log = daemon.log()
+    for mark in (b"event=broken", b"event=fault", b"Traceback", b"closed without answer"):
+        if mark in log:
+            day.broken.append(f"the log has {mark.decode()}")
+
+
+def cases(counted: dict[str, Day], every: int) -> Iterator[tuple[str, Call, int, int]]:
+    """Each call of each day with each error; `every`: of the calls each so-and-so-many-th."""
+    for effect, day in counted.items():
+        for call, errors in ERRORS.items():
+            for fault in errors:
+                for nth in range(1, day.calls[call] + 1, every):
+                    yield effect, call, fault, nth
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--at-once", type=int, default=6)
+    parser.add_argument("--every", type=int, default=1, help="of the calls of a kind, each so-and-so-many-th")
+    parser.add_argument("--effects", default=",".join(EFFECTS))
+    told = parser.parse_args()
+    counted = {effect: play(effect) for effect in told.effects.split(",")}
+    for effect, day in counted.items():
+        print(effect, {call.name.lower(): count for call, count in day.calls.items()}, day.broken, flush=True)
+    hit, failed = Counter[str](), []
+    with ProcessPoolExecutor(told.at_once) as pool:
+        plays = [pool.submit(play, *case) for case in cases(counted, told.every)]
+        for number, submitted in enumerate(plays, 1):
+            day = submitted.result()
+            assert day.call is not None
+            hit[day.call.name.lower()] += day.hit
+            if day.broken:
+                failed.append(day)
+                print(day, flush=True)
+            if number % 100 == 0:
+                print(f"{number} of {len(plays)}", flush=True)
+    print(f"{len(plays)} plays, calls hit {dict(hit)}, {len(failed)} broken")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
