--- a/pointgw/net/run/node.py
+++ b/pointgw/net/run/node.py
@@ -178,7 +178,7 @@
         about = {"name": self.start.name, "on": on, "descriptors": self.allowed}
         _log.info("serving", extra={"fields": about})
         if self.remembering is not None:
-            self.remembering.keep(self.reducer, self.loop)
+            self.remembering.keep(self.reducer, self.loop, self.now)
         if self.tiering is not None:
             await self.tiering.speak(self.reducer, self.loop, self.start.seed)
         if self.recovering is not None:
--- a/pointgw/net/run/remembering.py
+++ b/pointgw/net/run/remembering.py
@@ -9,9 +9,13 @@
 import logging
 import math
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from pointgw.net.memory.reducer import Reducer
+from pointgw.net.memory.start_times import SAME
 from pointgw.net.wire.start import Start
 from pointgw.policy import Balancer
 from pointgw.state import facts, keeper
@@ -57,13 +61,19 @@
         roster = recalled.roster if recalled is not None else Roster({fact.name: fact for fact in known})
         return cls(store, mark, roster, recalled, run)
 
-    def keep(self, reducer: Reducer, loop: asyncio.AbstractEventLoop) -> None:
+    def keep(
+        self, reducer: Reducer, loop: asyncio.AbstractEventLoop, clock: Callable[[], float] = time.time
+    ) -> None:
+        """`clock`: the process's own, which goes on evenly where the wall clock steps."""
+
         def take(clean: bool) -> facts.Memory:
-            now, discovery = time.time(), reducer.discovery  # the one in force: a reload may have turned
+            now, wall = clock(), time.time()
+            stepped = wall - now if abs(wall - now) > SAME else 0.0
+            discovery = reducer.discovery  # the one in force: a reload may have turned
             return facts.Memory(
-                self.fingerprint, now, reducer.index, f"{discovery[0]}:{discovery[1]}", clean,
-                self.roster.kept(now), health(reducer.balancer, now), figures(reducer.balancer),
-                self.roster.lives, self.run,
+                self.fingerprint, wall, reducer.index, f"{discovery[0]}:{discovery[1]}", clean,
+                in_wall_time(self.roster.kept(now), stepped), health(reducer.balancer, now, stepped),
+                figures(reducer.balancer), self.roster.lives, self.run,
             )  # fmt: skip
 
         self.keeper = keeper.Keeper(self.store, take, lambda: self.roster.news, loop)
@@ -82,10 +92,24 @@
         return ""
 
 
-def health(balancer: Balancer, now: float) -> tuple[facts.Health, ...]:
+def in_wall_time(kept: tuple[facts.Fact, ...], stepped: float) -> tuple[facts.Fact, ...]:
+    """Facts whose times are of the process's clock, which the wall clock has left by so much."""
+    if not stepped:
+        return kept
+    return tuple(
+        msgspec.structs.replace(
+            fact, at=fact.at and fact.at + stepped, seen=fact.seen and fact.seen + stepped
+        )
+        for fact in kept
+    )
+
+
+def health(balancer: Balancer, now: float, stepped: float = 0.0) -> tuple[facts.Health, ...]:
     """Of the servers that are suspended, have strikes, or are cold; a doubted one has learned nothing yet."""
     return tuple(
-        facts.Health(ep.name, ep.started, ep.strikes, ep.out_until, ep.budget, ep.budget_at)
+        facts.Health(
+            ep.name, ep.started, ep.strikes, ep.out_until + stepped, ep.budget, ep.budget_at + stepped
+        )
         for ep in balancer.servers.values()
         if not ep.doubted and (ep.strikes or ep.out_until > now or ep.warm_at > now)
     )
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -545,3 +545,19 @@
     with pytest.raises(Owned, match="n0"):
         second.claim("n1")
     first.release()
+
+
+def test_a_snapshot_after_a_step_of_the_wall_clock_is_in_the_time_it_is_read_in(tmp_path: Path) -> None:
+    # The process's own clock goes on from where the wall clock was as it began: an hour behind by now.
+    wall, behind = time.time(), 3600.0
+    reducer, made = remembering(tmp_path, fact("s-1", at=wall - behind, port=9001))
+    ep = reducer.balancer.servers["s-1"]
+    ep.doubted, ep.strikes, ep.out_until, ep.budget_at = False, 3, wall - behind + 5.0, wall - behind
+    made.keep(reducer, loop := asyncio.new_event_loop(), lambda: time.time() - behind)
+    assert made.keeper is not None
+    made.roster.confirm(wall - behind)
+    told = made.keeper.take(False)
+    loop.close()
+    made.store.release()
+    assert [round(one.out_until - wall) for one in told.health] == [5]
+    assert all(abs(one.at - wall) < 2.0 for one in told.facts if one.name == "s-1")
