--- a/pointgw/net/run/lingering_close.py
+++ b/pointgw/net/run/lingering_close.py
@@ -11,8 +11,8 @@
 
 
 class LingeringClose:
-    """What was written goes out, then our end; what the other side still says is
-    read and dropped until it ends too. By force once `within` seconds are over.
+    """What was written goes out, then our end; what the other side still says is read and dropped until it
+    ends too. By force once `within` seconds are over.
 
     Closing at once with something unread resets the connection, and the last line may be lost with it. A
     flood is read at a bounded pace: it costs little, and its sender still reads its answer.
--- a/tests/soak/client.py
+++ b/tests/soak/client.py
@@ -3,15 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 import time
 from collections.abc import Callable
 from typing import cast
 
 from soak.records import Request
 
-NO_LINGER = struct.pack("ii", 1, 0)
 LINE_EVERY = 0.4  # seconds between two lines on an open connection
 
 
@@ -131,10 +128,3 @@
     def connection_lost(self, exc: Exception | None) -> None:
         if self.done_at is None:
             self.done_at = time.monotonic()
-
-
-def reset(transport: asyncio.Transport) -> None:
-    sock = transport.get_extra_info("socket")
-    if sock is not None and not transport.is_closing():
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    transport.abort()
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -37,7 +37,6 @@
     closed_at: float | None = None  # by the balancer
     excused: bool = False  # the balancer was killed, or stopped by force, under it
     attempts: list[Attempt] = field(default_factory=list)
-    crossing_shutdown: bool = False  # sent on a connection that the balancer was shutting
 
 
 @dataclass(slots=True)
--- a/tests/soak/syscall_faults.py
+++ b/tests/soak/syscall_faults.py
@@ -73,10 +73,6 @@
     def mend(self, call: Call) -> None:
         self.fail(call, 0)
 
-    def mend_all(self) -> None:
-        for call in Call:
-            self.mend(call)
-
     def counts(self, call: Call) -> tuple[int, int]:
         """Calls made, and those that were hit."""
         *_, calls, hits = RULE.unpack_from(self._control, self._at(call))
