A standing connection waits for the list that is on its way, not ERR by an old one

The state line didn't say whether a list was current: it has list_current and awaiting_list now.

Change: the reducer knows whether its list is current (answered by discovery, watch not broken since). A request for a server without a known address waits for the next list unless it is; then it goes there, or fails at once. It keeps its 40 s (now also within an attempt: a silent server's attempt began anew with 40 s), its client's leave and a stop; at most half as many wait as descriptors fit. A server listed without a usable address was a KeyError (event=fault); it is treated as unknown. This code moves out of the reducer.

--- a/pointgw/net/core/effects.py
+++ b/pointgw/net/core/effects.py
@@ -116,6 +116,14 @@
     delay: float
 
 
+@dataclass(frozen=True, slots=True)
+class SetAnswerTimer:
+    """Requests an `AnswerTimerDue` after `delay` seconds, unless the client was answered or has left."""
+
+    client: int
+    delay: float
+
+
 @dataclass(frozen=True, slots=True)
 class ScheduleStop:
     """Requests another `StopRequested` after `delay` seconds."""
@@ -138,5 +146,6 @@
 
 Effect = (
     Connect | WriteRequest | AbandonSetup | Reply | RelayTunnel | CloseClient | MigrateClient | Probe
-    | ForgetServer | SwitchDiscovery | RequestList | SetTimer | ScheduleStop | CloseIdleClients | ExitProcess
+    | ForgetServer | SwitchDiscovery | RequestList | SetTimer | SetAnswerTimer | ScheduleStop
+    | CloseIdleClients | ExitProcess
 )  # fmt: skip
--- a/pointgw/net/core/events.py
+++ b/pointgw/net/core/events.py
@@ -105,6 +105,13 @@
     """The timer set last has fired."""
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerTimerDue:
+    """A client that has waited for a list since its `SetAnswerTimer` has to be answered now."""
+
+    client: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopRequested:
     """The stop signal has come, or the next round of the stop is due."""
@@ -112,5 +119,6 @@
 
 Event = (
     ClientArrived | ClientLeft | SetupConnected | SetupOpened | SetupEnded | LoadReported | ServerSlow
-    | ProbeEnded | ListReceived | ListRequestFailed | SettingsReloaded | TimerDue | StopRequested
+    | ProbeEnded | ListReceived | ListRequestFailed | SettingsReloaded | TimerDue | AnswerTimerDue
+    | StopRequested
 )  # fmt: skip
--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -15,6 +15,7 @@
 from pointgw.interface import Ending, Report, ServerEntry
 from pointgw.net.core import effects
 from pointgw.net.core.events import (
+    AnswerTimerDue,
     ClientArrived,
     ClientLeft,
     Event,
@@ -31,6 +32,7 @@
     TimerDue,
 )
 from pointgw.net.core.guard import DeliveryGuard
+from pointgw.net.core.inherited_tunnels import INHERITED_RETRY_SECONDS, InheritedTunnels, Rejection
 from pointgw.net.core.start_times import StartTimes
 from pointgw.net.invariant import check_invariant
 from pointgw.net.wire.lines import Decline, Failure, OpenRequest
@@ -60,9 +62,8 @@
 # Wait of a watch, as a share of the list poll interval (after which a balancer that does not ask counts as
 # informed).
 WATCH_WAIT_SHARE = 0.5
-INHERITED_RETRY_SECONDS = 0.25  # until the next try for a tunnel that was open before this process started
 MIN_PUSHED_RETRY_SECONDS = 0.01  # shortest pause after a failed request, where the list is pushed
-INHERITED_TIMEOUT_SECONDS = 40.0  # limit for setting up a tunnel that was open before this process started
+DEFAULT_MAX_WAITING = 512  # requests that may wait for a list, where no limit of descriptors is known
 STOP_ACCEPT_SECONDS = 0.5  # new connections still arrive for this long after the stop signal
 STOP_ROUND_SECONDS = 0.1  # between two rounds of migrations while stopping
 STOP_SETTLE_SECONDS = 0.3  # for the last migrations to reach their clients
@@ -79,9 +80,6 @@
     number: int
     request: OpenRequest
     tunnel: Tunnel
-    arrived_at: float
-    # The server that has its tunnel from before this process started; None once it is open here.
-    previous_server: Server | None = None
     answered: bool = False  # it has its final answer, or has left
 
 
@@ -107,10 +105,14 @@
         self.clients: dict[int, Client] = {}
         self.client_of: dict[Tunnel, Client] = {}
         self.addresses: dict[str, effects.Address] = {}  # by server name
+        self.inherited = InheritedTunnels(self.addresses, DEFAULT_MAX_WAITING)
         self.list_version: int | None = start.known_list.version
         self.discovery = start.discovery
         self.tunnel_names: set[str] = set()  # of the tunnels in `clients`
         self.list_requested = False
+        # Discovery has answered, and its watch has not broken since. Otherwise a newer list may be on its
+        # way, and that a server is missing from the last one says nothing.
+        self.list_is_current = False
         self.timer_due_at = inf
         self.now = now
         self.stop_requested_at = inf  # time of the stop signal
@@ -179,6 +181,9 @@
                 self._settings_reloaded(event)
             case TimerDue():
                 self._timer_due()
+            case AnswerTimerDue():
+                if event.client in self.inherited.waiting:
+                    self._reject_inherited(self.clients[event.client], Rejection.TOO_LATE)
             case StopRequested():
                 self._stop_requested()
         while self.pending_endings:
@@ -200,12 +205,8 @@
             return
         # Guards against the name of another client's tunnel: servers fail it, and would seem to be at fault.
         name_in_use = request.name in self.tunnel_names
-        if (
-            profile is None
-            or name_in_use
-            or (request.current_server and request.current_server not in self.balancer.servers)
-        ):
-            reason = "unknown_class" if profile is None else "id_in_use" if name_in_use else "unknown_server"
+        if profile is None or name_in_use:
+            reason = "unknown_class" if profile is None else "id_in_use"
             self.effects.append(effects.Reply(event.client, Failure(), reason))
             return
         if now >= self.stop_requested_at + STOP_ACCEPT_SECONDS or self.exiting:
@@ -218,32 +219,28 @@
             request.name, profile, self.tenants.get(request.tenant, 0), request.key, request.group,
             now + remaining_time, request.is_returning,
         )  # fmt: skip
-        client = Client(event.client, request, tunnel, now)
+        client = Client(event.client, request, tunnel)
         self.clients[event.client] = self.client_of[tunnel] = client
         self.tunnel_names.add(request.name)
         if request.current_server:
-            client.previous_server = self.balancer.servers[request.current_server]
-            self._connect_to_previous(client, 0.0)
+            self.inherited.add(client.number, request, now)
+            self._advance_inherited(client)
         else:
             self.guard.request_arrived(event.client, tunnel.profile, now + remaining_time)
             self.balancer.tunnel_arrived(tunnel, False, now)
 
-    def _connect_to_previous(self, client: Client, delay: float) -> None:
-        """Connects a tunnel from before this process started to its server, bypassing the policy."""
-        assert client.previous_server is not None
-        address = self.addresses[client.previous_server.name]
-        self.effects.append(
-            effects.Connect(
-                client.number,
-                0,
-                address,
-                client.request,
-                None,
-                INHERITED_TIMEOUT_SECONDS,
-                INHERITED_TIMEOUT_SECONDS,
-                delay,
-            )
-        )
+    def _advance_inherited(self, client: Client, delay: float = 0.0) -> None:
+        """Connects a tunnel from before this process started to its server, or waits for a list with it."""
+        step = self.inherited.next_step(client.number, self.now, self.list_is_current, delay)
+        if isinstance(step, Rejection):
+            self._reject_inherited(client, step)
+        elif step is not None:
+            self.effects.append(step)
+
+    def _reject_inherited(self, client: Client, rejection: Rejection) -> None:
+        self.inherited.remove(client.number)
+        self.balancer.client_left(client.tunnel, self.now)
+        self._answer(client, Failure(), rejection.value)
 
     def _client_left(self, event: ClientLeft) -> None:
         client = self.clients.get(event.client)
@@ -254,9 +251,8 @@
         tunnel = client.tunnel
         was_open = tunnel.state is State.OPEN
         self.balancer.client_left(tunnel, self.now)
-        if client.previous_server is not None:
+        if self.inherited.remove(client.number) is not None:
             self.effects.append(effects.AbandonSetup(client.number, 0, event.reset))
-            client.previous_server = None
         elif was_open:
             number = len(tunnel.setups) - 1
             self.effects.append(effects.AbandonSetup(client.number, number, event.reset))
@@ -264,7 +260,7 @@
         self._forget_if_finished(client)
 
     def _forget_if_finished(self, client: Client) -> None:
-        if client.tunnel.is_finished and client.previous_server is None:
+        if client.tunnel.is_finished and client.number not in self.inherited:
             check_invariant(client.answered, "a tunnel ends with a final answer")
             self.clients.pop(client.number, None)
             self.client_of.pop(client.tunnel, None)
@@ -276,7 +272,7 @@
     def _setup_connected(self, event: SetupConnected) -> None:
         """Checks again whether the request may be sent: client, list and time have changed meanwhile."""
         client = self.clients.get(event.client)
-        if client is not None and client.previous_server is None:
+        if client is not None and event.client not in self.inherited:
             tunnel, number = client.tunnel, event.setup
             server = tunnel.setups[number].server.name
             may_write = self.balancer.may_write_request(tunnel, number, self.now)
@@ -296,8 +292,9 @@
             self.effects.append(effects.AbandonSetup(event.client, event.setup))
             return
         tunnel = client.tunnel
-        if client.previous_server is not None:
-            server, client.previous_server = client.previous_server, None
+        inherited = self.inherited.remove(client.number)
+        if inherited is not None:
+            server = self.balancer.servers[inherited.request.current_server]
             self.balancer.tunnel_inherited(tunnel, server, self.now)
         else:
             self.balancer.setup_opened(tunnel, event.setup, self.now)
@@ -314,13 +311,8 @@
         if client is None:
             return
         tunnel, ending = client.tunnel, event.end_line.ending
-        if client.previous_server is not None:
-            if self.now - client.arrived_at < INHERITED_TIMEOUT_SECONDS:
-                self._connect_to_previous(client, INHERITED_RETRY_SECONDS)
-            else:
-                client.previous_server = None
-                self.balancer.client_left(tunnel, self.now)
-                self._answer(client, Failure(), "standing_lost")
+        if client.number in self.inherited:
+            self._advance_inherited(client, INHERITED_RETRY_SECONDS)
             return
         was_open = tunnel.state is State.OPEN
         if was_open:
@@ -357,13 +349,16 @@
             FIRST_RETRY_PAUSE_SECONDS,
         )
         self._request_list(self.watch_wait)  # first: the watch continues whatever the list holds
+        self.list_is_current = True
         self._update_list(
             event.server_list, False, self.now if event.wall_clock is None else event.wall_clock
         )
+        for number in list(self.inherited.waiting):
+            self._advance_inherited(self.clients[number])
 
     def _list_request_failed(self, event: ListRequestFailed) -> None:
         """Requests the list again before it counts as known (rule 3), at a random time to spread the load."""
-        self.list_requested = False
+        self.list_requested = self.list_is_current = False
         if self.list_is_pushed:
             self._request_list(0.0, self.pushed_retry_pause)
         elif event.silent:  # the changes it missed soon count as known
@@ -379,7 +374,8 @@
     def _settings_reloaded(self, event: SettingsReloaded) -> None:
         """Switches to another discovery, which may number its versions anew: requests the complete list."""
         if event.discovery != self.discovery:
-            self.discovery, self.list_version, self.list_requested = event.discovery, None, False
+            self.discovery, self.list_version = event.discovery, None
+            self.list_requested = self.list_is_current = False
             # That the former discovery was unreachable says nothing about this one.
             self.retry_pause = FIRST_RETRY_PAUSE_SECONDS
             self.effects.append(effects.SwitchDiscovery(event.discovery, event.names))
@@ -457,8 +453,7 @@
     def _answer_stopping(self, client: Client) -> None:
         """Gives a client its final answer because this balancer stops."""
         may_decline = self.balancer.may_decline(client.tunnel)
-        if client.previous_server is not None:
-            client.previous_server = None
+        if self.inherited.remove(client.number) is not None:
             self.effects.append(effects.AbandonSetup(client.number, 0))
         self.balancer.client_left(client.tunnel, self.now)
         if not client.answered:
@@ -530,4 +525,6 @@
             "cold": sum(server.warm_at > self.now for server in active),
             "c": float(self.balancer.c),
             "watching": self.balancer.is_watching_list,
+            "list_current": self.list_is_current,
+            "awaiting_list": len(self.inherited.waiting),
         }
--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -29,7 +29,8 @@
     StopRequested,
     TimerDue,
 )
-from pointgw.net.core.reducer import INHERITED_TIMEOUT_SECONDS, Reducer
+from pointgw.net.core.inherited_tunnels import INHERITED_TIMEOUT_SECONDS
+from pointgw.net.core.reducer import Reducer
 from pointgw.net.core.route import RouteEvidence
 from pointgw.net.invariant import violations
 from pointgw.net.run import tcp
@@ -58,6 +59,7 @@
 BAD_CLIENT_TIMEOUT = 3.0  # seconds after accept by which a misbehaving client gets an error or a close
 SPARE_DESCRIPTOR_SHARE = 1 / 8  # share of the descriptors that idle connections have to leave free
 OWN_DESCRIPTORS = 16  # descriptors that the process itself uses
+DESCRIPTORS_PER_TUNNEL = 2  # its client's and its server's
 CLOCK_RESOLUTION = 0.001  # seconds, resolution of the event loop's clock
 EXIT_CHECK_INTERVAL = 0.01  # seconds between two checks whether the last connections have closed
 BIND_TIMEOUT = 8.0  # seconds for which binding to an address in use is retried
@@ -104,6 +106,7 @@
         )
         self.descriptor_limit = _descriptor_limit(start_up.descriptors)
         self.descriptor_budget = int(self.descriptor_limit * (1 - SPARE_DESCRIPTOR_SHARE)) - OWN_DESCRIPTORS
+        self.reducer.inherited.max_waiting = self.descriptor_budget // DESCRIPTORS_PER_TUNNEL
         self.connections = ClientConnections(loop, self.reducer.max_client_timeout)
         self.refusals: Counter[str] = Counter()
         self.clients: dict[int, ClientConnection] = {}  # by request number
@@ -412,6 +415,9 @@
                 self.timer = self.loop.call_later(
                     max(effect.delay, CLOCK_RESOLUTION), self.submit, TimerDue()
                 )
+            case effects.SetAnswerTimer():
+                if effect.client in self.clients:
+                    self.clients[effect.client].set_answer_timer(effect.delay)
             case effects.ScheduleStop():
                 self.loop.call_later(effect.delay, self.submit, StopRequested())
             case effects.CloseIdleClients():
--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -6,7 +6,7 @@
 import select
 from typing import TYPE_CHECKING, cast
 
-from pointgw.net.core.events import ClientArrived, ClientLeft
+from pointgw.net.core.events import AnswerTimerDue, ClientArrived, ClientLeft
 from pointgw.net.run import tcp
 from pointgw.net.run.connection_state import ConnectionLifecycle, ConnectionState
 from pointgw.net.wire import lines
@@ -23,6 +23,7 @@
     __slots__ = (
         "accepted_at",
         "answer_deadline",
+        "answer_timer",
         "buffer",
         "lifecycle",
         "number",
@@ -39,6 +40,7 @@
         self.lifecycle = ConnectionLifecycle(ConnectionState.IDLE)
         self.buffer = bytearray()
         self.server: ServerConnection | None = None
+        self.answer_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -84,6 +86,12 @@
             self.process.submit(ClientLeft(self.number, False))
         self.answer(lines.Failure())
 
+    def set_answer_timer(self, delay: float) -> None:
+        """Submits `AnswerTimerDue` after `delay` seconds, unless the connection ends before."""
+        self.answer_timer = self.process.loop.call_later(
+            delay, self.process.submit, AnswerTimerDue(self.number)
+        )
+
     def answer(self, answer: lines.Answer) -> None:
         """Sends the final answer to a client whose tunnel was not opened."""
         if self.lifecycle.state in (ConnectionState.IDLE, ConnectionState.REQUESTED):
@@ -152,6 +160,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._disconnected(exc is not None)
+        if self.answer_timer is not None:
+            self.answer_timer.cancel()
         if self.lifecycle.state is ConnectionState.HALF_CLOSED:
             self.lifecycle.transition_to(ConnectionState.CLOSED)
         self.process.remove_client(self)
--- a/tests/crossing/world.py
+++ b/tests/crossing/world.py
@@ -149,13 +149,16 @@
 class World:
     """Stand-ins for servers and discovery, the start-up settings of a balancer, and its clients.
 
-    `limits`, `rules`, `profile`: settings that differ from the defaults; `mode`: the membership mode.
+    `limits`, `rules`, `profile`: settings that differ from the defaults; `mode`: the membership mode;
+    `known_servers`: how many of the servers the start-up file's list has (all by default).
     """
 
     def __init__(
         self, servers: int = 2, limits: dict[str, Any] | None = None, rules: dict[str, Any] | None = None,
         profile: dict[str, Any] | None = None, mode: str = "subscribe", probes: bool = False,
+        known_servers: int | None = None,
     ) -> None:  # fmt: skip
+        self.known_servers = servers if known_servers is None else known_servers
         self.servers = [StandIn() for _ in range(servers)]
         self.discovery = Discovery()
         self.limits = {
@@ -194,7 +197,7 @@
         known = {
             "index": 1,
             "snapshot": True,
-            "endpoints": [self.list_entry(i) for i in range(len(self.servers))],
+            "endpoints": [self.list_entry(i) for i in range(self.known_servers)],
         }
         addresses = {"listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{self.discovery.port}"}
         start_up = {"name": "n0", "seed": "8c1f", "known": known, "settings": settings}
--- /dev/null
+++ b/tests/test_inherited_tunnels.py
@@ -0,0 +1,81 @@
+"""Tunnels that were open before this process started, while the list may be old: on a virtual clock."""
+
+from __future__ import annotations
+
+import pytest
+
+from pointgw.interface import ServerEntry
+from pointgw.net.core import effects
+from pointgw.net.core import events as ev
+from pointgw.net.core.inherited_tunnels import INHERITED_TIMEOUT_SECONDS
+from pointgw.net.core.reducer import Reducer
+from pointgw.net.wire.lines import EndLine, Failure
+from pointgw.net.wire.server_list import DeploymentNames, ServerList
+from test_reducer import arrive, make_reducer
+
+NEW_SERVER = ServerEntry("s9", "active", 0, 9, 0, 0.0, 1.0)
+WITH_NEW = ServerList(8, False, (NEW_SERVER,), (("s9", "127.0.0.9", 9009),))
+WITHOUT_NEW = ServerList(8, False, (), ())
+WITHOUT_ADDRESS = ServerList(8, False, (NEW_SERVER,), ())
+OTHER_DISCOVERY = ev.SettingsReloaded(("127.0.0.1", 3), DeploymentNames(("a",), ("k",)))
+
+
+def awaiting_first_list() -> Reducer:
+    return make_reducer()
+
+
+def awaiting_list_after(event: ev.Event) -> Reducer:
+    reducer = make_reducer()
+    reducer.dispatch(ev.ListReceived(WITHOUT_NEW), 100.0)
+    reducer.dispatch(event, 100.0)
+    return reducer
+
+
+STATES = [
+    pytest.param(awaiting_first_list, id="start"),
+    pytest.param(lambda: awaiting_list_after(OTHER_DISCOVERY), id="reload"),
+    pytest.param(lambda: awaiting_list_after(ev.ListRequestFailed()), id="failed call"),
+    pytest.param(lambda: awaiting_list_after(ev.ListRequestFailed(silent=True)), id="silent watch"),
+]
+
+
+@pytest.mark.parametrize("make", STATES)
+def test_a_list_on_its_way_is_awaited_before_an_unknown_server_is_an_error(make: object) -> None:
+    reducer: Reducer = make()  # type: ignore[operator]
+    assert not any(isinstance(effect, effects.Reply) for effect in arrive(reducer, server_name="s9"))
+    connects = [
+        effect
+        for effect in reducer.dispatch(ev.ListReceived(WITH_NEW), 101.5)
+        if isinstance(effect, effects.Connect)
+    ]
+    assert [connect.address for connect in connects] == [("127.0.0.9", 9009)]
+    assert connects[0].timeout == pytest.approx(INHERITED_TIMEOUT_SECONDS - 1.5)
+
+
+@pytest.mark.parametrize("received", [WITHOUT_NEW, WITHOUT_ADDRESS])
+def test_a_server_that_the_awaited_list_lacks_is_an_error_at_once(received: ServerList) -> None:
+    reducer = awaiting_first_list()
+    arrive(reducer, server_name="s9")
+    assert effects.Reply(1, Failure()) in reducer.dispatch(ev.ListReceived(received), 101.5)
+    assert not reducer.clients and not reducer.inherited.waiting
+
+
+def test_a_request_that_waits_for_a_list_is_answered_once_at_its_deadline() -> None:
+    reducer = awaiting_first_list()
+    (timer,) = arrive(reducer, server_name="s9")
+    assert timer == effects.SetAnswerTimer(1, INHERITED_TIMEOUT_SECONDS)
+    late = 100.0 + INHERITED_TIMEOUT_SECONDS
+    assert reducer.dispatch(ev.ListRequestFailed(), 110.0) != []
+    assert reducer.dispatch(ev.AnswerTimerDue(1), late) == [effects.Reply(1, Failure())]
+    assert not any(
+        isinstance(effect, effects.Connect | effects.Reply)
+        for effect in reducer.dispatch(ev.ListReceived(WITH_NEW), late + 0.1)
+    )
+
+
+def test_an_attempt_at_a_silent_server_ends_at_the_deadline_of_the_request() -> None:
+    reducer = make_reducer()
+    arrive(reducer, server_name="s1")
+    (again,) = reducer.dispatch(ev.SetupEnded(1, 0, EndLine("no-connection", {}), False), 130.0)
+    assert isinstance(again, effects.Connect)
+    assert 130.0 + again.delay + again.timeout == pytest.approx(100.0 + INHERITED_TIMEOUT_SECONDS)
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -8,9 +8,9 @@
 from pointgw.interface import Profile, ServerEntry
 from pointgw.net.core import effects
 from pointgw.net.core import events as ev
+from pointgw.net.core.inherited_tunnels import INHERITED_TIMEOUT_SECONDS
 from pointgw.net.core.reducer import (
     FIRST_RETRY_PAUSE_SECONDS,
-    INHERITED_TIMEOUT_SECONDS,
     LIST_DEADLINE_SECONDS,
     LIST_RESPONSE_SECONDS,
     STOP_ACCEPT_SECONDS,
@@ -147,8 +147,11 @@
         OpenRequest("id", "key", "other", "acme", "", 3.0, False, "", b"OPEN", b""),
     ],
 )
-def test_an_unknown_profile_or_server_is_closed_with_error(line: OpenRequest) -> None:
-    assert make_reducer().dispatch(ev.ClientArrived(1, line), 100.0) == [effects.Reply(1, Failure())]
+def test_a_profile_or_server_that_a_current_list_lacks_is_closed_with_error(line: OpenRequest) -> None:
+    reducer = make_reducer()
+    reducer.dispatch(ev.ListReceived(ServerList(8, False, (), ())), 100.0)
+    assert reducer.dispatch(ev.ClientArrived(1, line), 100.0) == [effects.Reply(1, Failure())]
+    assert not reducer.clients
 
 
 def test_a_tunnel_name_in_use_is_closed_with_error() -> None:
