Requests wait for the list that is on its way while no known server is usable

What callers saw: after a start with an empty or outdated list, requests were refused after half of their time although discovery's answer came within it (scratch case, 80 requests of 1.8 s, answer after 1.5 s: the 11 of the first 0.55 s got BUSY after 0.9 s, with an empty list as with one server that has gone).

Until discovery answers the policy decides by a list that may be old: it queues for half of the client's time as if servers were full; refused connections to servers that have gone use up the setups and retries, and still pause all setups when the new list lacks those servers.

Change: while a list is awaited and no known server is usable a request waits as long as one attempt still fits. A connection that was refused meanwhile ends no request for want of retries, and the last setup is kept for a listed server. The pause after failures ends when the list has none of the servers that failed.

Result: tests/test_old_list.py: 6 of 8 failed on the code before, none now.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -313,8 +313,9 @@
             lambda: deque([-inf] * MIN_PROCESS_LOSSES, MIN_PROCESS_LOSSES)
         )
         self.declined: Counter[str] = Counter()  # tunnels answered unopened, by reason
-        # Setups that ended unopened since one was opened; when the last of them ended.
+        # Setups that ended unopened since one was opened; when the last of them ended; their servers.
         self.consecutive_unopened, self.last_unopened_at = 0, now
+        self.unopened_servers: set[Server] = set()
         self.retry_budget = self.max_retry_budget = float(self.max_setups)  # further setups allowed now
         self._schedule_timer(now, self.timer_interval)
 
@@ -371,6 +372,10 @@
             self.mean_relative_size = (
                 sum(server.relative_size for server in active) / max(1, len(active)) or 1.0
             )
+            if not any(server.active for server in self.unopened_servers):
+                # What failed was a list of servers that have gone: it says nothing of the present ones.
+                self.consecutive_unopened = 0
+                self.unopened_servers.clear()
         if not self.arrival_rate:
             self.arrival_rate = INITIAL_ARRIVAL_RATE * max(1, len(self.active_servers)) / self.balancer_count
             self.load_per_tunnel = (
@@ -977,6 +982,10 @@
         ):
             self._answer_unopened(tunnel, now)
             return
+        last_setup = 0 < self.max_setups - 1 <= len(tunnel.setups)
+        if last_setup and self._awaits_servers(now):  # kept for a server of the next list
+            self._queue_or_answer(tunnel, now)
+            return
         ready = self._select_candidates(tunnel, now)
         if ready:
             tunnel.candidates = self._draw_candidates(tunnel, ready)
@@ -1018,9 +1027,23 @@
         ):
             return False
         remaining = tunnel.deadline - now
-        return (
-            remaining > self.timer_interval
-            and remaining > (1.0 - MAX_QUEUE_TIME_SHARE) * tunnel.profile.client_timeout
+        min_remaining = (1.0 - MAX_QUEUE_TIME_SHARE) * tunnel.profile.client_timeout
+        if self._awaits_servers(now):
+            min_remaining = min(min_remaining, tunnel.profile.attempt_timeout)
+        return remaining > max(self.timer_interval, min_remaining)
+
+    def _awaits_list(self) -> bool:
+        """Whether the list may be old and a newer one was requested."""
+        return self.list_is_polled and not self.is_watching_list
+
+    def _awaits_servers(self, now: float) -> bool:
+        """Whether the list may be old, a newer one was requested, and no server of the old one is usable.
+
+        Guards tunnels against an answer by an empty or outdated list while the servers that could take them
+        are about to be listed.
+        """
+        return self._awaits_list() and all(
+            server.process_missing or server.ejected_until > now for server in self.active_servers
         )
 
     def _send_setup(self, tunnel: Tunnel, server: Server, now: float) -> None:
@@ -1094,6 +1117,7 @@
                 self.setups_in_progress - 1,
                 0,
             )
+            self.unopened_servers.clear()
             setup.server.recent_failures -= (
                 setup.server.ejected_until <= now and setup.server.recent_failures > 0
             )
@@ -1138,6 +1162,7 @@
         )
         if not was_open and ending in ("timeout", "full", "error", "no-connection"):
             self.consecutive_unopened, self.last_unopened_at = self.consecutive_unopened + 1, now
+            self.unopened_servers.add(setup.server)
         if report:
             self._record_report(setup.server, report, now)
         setup.ended_in_error = ending == "error" and not was_open
@@ -1172,6 +1197,8 @@
             if self.retry_budget >= 1.0 and not failed_elsewhere:
                 self.retry_budget -= 1.0
                 self._place(tunnel, now)
+            elif ending == "no-connection" and self._awaits_list():
+                self._queue_or_answer(tunnel, now)  # costs servers nothing
             else:
                 self._answer_unopened(tunnel, now, "retries")
         else:  # an open tunnel whose client is still connected
--- /dev/null
+++ b/tests/test_old_list.py
@@ -0,0 +1,68 @@
+"""Requests and servers while the known list is empty or outdated and a newer one is on its way."""
+
+from __future__ import annotations
+
+import pytest
+
+from pointgw.interface import ServerEntry
+from pointgw.net.core import effects
+from pointgw.net.core import events as ev
+from pointgw.net.core.reducer import Reducer
+from pointgw.net.wire.lines import EndLine
+from pointgw.net.wire.server_list import ServerList
+from test_reducer import arrive, make_reducer
+
+CLIENT_TIMEOUT = 3.0  # of the reducer's profile; half of it is the longest wait for a full server
+NEW_PORT = 9009
+NEW_SERVER = ServerList(
+    8, True, (ServerEntry("s9", "active", 0, 9, 0, 0.0, 1.0),), (("s9", "127.0.0.9", NEW_PORT),)
+)
+
+
+def carry_out(reducer: Reducer, requested: list[effects.Effect], now: float) -> list[effects.Reply]:
+    """Refuses each connection to a server of the old list; returns the answers to clients."""
+    answers = []
+    while requested:
+        effect = requested.pop(0)
+        if isinstance(effect, effects.Reply):
+            answers.append(effect)
+        elif isinstance(effect, effects.Connect) and effect.address[1] != NEW_PORT:
+            refused = ev.SetupEnded(effect.client, effect.setup, EndLine("no-connection", {}), False)
+            requested += reducer.dispatch(refused, now)
+    return answers
+
+
+def run_timers(reducer: Reducer, begin: float, end: float) -> list[effects.Reply]:
+    """Fires a timer each 50 ms from `begin` to `end`; returns the answers to clients."""
+    times = [begin + 0.05 * step for step in range(round((end - begin) / 0.05))]
+    return [
+        answer for now in times for answer in carry_out(reducer, reducer.dispatch(ev.TimerDue(), now), now)
+    ]
+
+
+@pytest.mark.parametrize("known", [0, 1, 2])
+@pytest.mark.parametrize("retry_budget", [0.0, 9.0])
+def test_a_request_waits_for_a_list_while_no_known_server_is_usable(known: int, retry_budget: float) -> None:
+    # Guards against a refusal at half of the client's time, or once retries or setups are used up at servers
+    # that have gone, although the list comes within that time.
+    reducer = make_reducer(server_count=known)
+    reducer.balancer.retry_budget = retry_budget
+    assert carry_out(reducer, arrive(reducer), 100.0) == []
+    assert run_timers(reducer, 100.0, 102.0) == []
+    reducer.dispatch(ev.ListReceived(NEW_SERVER), 102.0)
+    assert run_timers(reducer, 102.0, 102.3) == []
+    assert reducer.clients[1].tunnel.setups[-1].server.name == "s9"
+
+
+def test_a_request_that_waits_for_a_list_is_refused_with_time_left() -> None:
+    reducer = make_reducer(server_count=0)
+    arrive(reducer)
+    answers = run_timers(reducer, 100.0, 100.0 + CLIENT_TIMEOUT - 0.15)
+    assert [type(answer) for answer in answers] == [effects.Reply] and not reducer.clients
+
+
+def test_with_a_current_list_a_request_waits_for_half_of_its_time() -> None:
+    reducer = make_reducer(server_count=0)
+    reducer.dispatch(ev.ListReceived(ServerList(8, True, (), ())), 100.0)
+    arrive(reducer)
+    assert len(run_timers(reducer, 100.0, 100.0 + CLIENT_TIMEOUT / 2 + 0.2)) == 1
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -23,10 +23,10 @@
 from pointgw.net.wire.start_up import StartUpSettings
 
 
-def make_reducer(seed: int = 5, **changes: Any) -> Reducer:
+def make_reducer(seed: int = 5, server_count: int = 2, **changes: Any) -> Reducer:
     """A reducer at time 100 with two warm servers, without probes by default; its first effects are read."""
-    lines = tuple(ServerEntry(f"s{i}", "active", 0, i, 0, 0.0, 1.0) for i in range(2))
-    known = ServerList(7, True, lines, tuple((f"s{i}", "127.0.0.9", 9000 + i) for i in range(2)))
+    lines = tuple(ServerEntry(f"s{i}", "active", 0, i, 0, 0.0, 1.0) for i in range(server_count))
+    known = ServerList(7, True, lines, tuple((f"s{i}", "127.0.0.9", 9000 + i) for i in range(server_count)))
     settings = make_site(**({"may_probe": False, "list_is_polled": True} | changes))
     start = StartUpSettings(
         "n0", ("127.0.0.1", 1), ("127.0.0.1", 2), seed, settings,
