A standing connection is answered within its client's own time, where that is under 40 s

What callers saw: a connection handed in with at=ID and a d of a few seconds, whose server could not be reached or whose list was awaited, was held for 40 s, long after its client had stopped waiting for UP.

Change: the smaller of both counts, for the wait, each attempt and the guard of overdue answers.

Result: tests/test_inherited_tunnels.py, d of 3 s, failed before and passes.

--- a/pointgw/net/core/inherited_tunnels.py
+++ b/pointgw/net/core/inherited_tunnels.py
@@ -27,6 +27,13 @@
     TOO_LATE = "standing_lost"
 
 
+def inherited_timeout(request: OpenRequest) -> float:
+    """Seconds within which such a request has to be open or answered: its client may wait for less."""
+    if request.remaining_time is None:
+        return INHERITED_TIMEOUT_SECONDS
+    return min(request.remaining_time, INHERITED_TIMEOUT_SECONDS)
+
+
 @dataclass(slots=True)
 class InheritedRequest:
     """A request that is not open here yet; `deadline`: time in seconds."""
@@ -50,7 +57,7 @@
 
     def add(self, client: int, request: OpenRequest, now: float) -> None:
         """Adds a request that has arrived; `next_step` says what to do for it."""
-        self.requests[client] = InheritedRequest(client, request, now + INHERITED_TIMEOUT_SECONDS)
+        self.requests[client] = InheritedRequest(client, request, now + inherited_timeout(request))
 
     def remove(self, client: int) -> InheritedRequest | None:
         """Removes the request of a client, as it is open, answered, or its client has left."""
--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -29,7 +29,7 @@
     StopRequested,
     TimerDue,
 )
-from pointgw.net.core.inherited_tunnels import INHERITED_TIMEOUT_SECONDS
+from pointgw.net.core.inherited_tunnels import inherited_timeout
 from pointgw.net.core.reducer import Reducer
 from pointgw.net.core.route import RouteEvidence
 from pointgw.net.invariant import violations
@@ -153,7 +153,7 @@
     def answer_deadline(self, request: OpenRequest) -> float:
         """When the client must be answered at the latest. Tunnels open before this process have longer."""
         if request.current_server:
-            return self.now() + INHERITED_TIMEOUT_SECONDS
+            return self.now() + inherited_timeout(request)
         max_timeout = self.reducer.max_client_timeout
         return self.now() + (
             max_timeout if request.remaining_time is None else min(request.remaining_time, max_timeout)
--- a/tests/test_inherited_tunnels.py
+++ b/tests/test_inherited_tunnels.py
@@ -11,7 +11,7 @@
 from pointgw.net.core.reducer import Reducer
 from pointgw.net.wire.lines import EndLine, Failure
 from pointgw.net.wire.server_list import DeploymentNames, ServerList
-from test_reducer import arrive, make_reducer
+from test_reducer import make_reducer, open_request
 
 NEW_SERVER = ServerEntry("s9", "active", 0, 9, 0, 0.0, 1.0)
 WITH_NEW = ServerList(8, False, (NEW_SERVER,), (("s9", "127.0.0.9", 9009),))
@@ -20,6 +20,13 @@
 OTHER_DISCOVERY = ev.SettingsReloaded(("127.0.0.1", 3), DeploymentNames(("a",), ("k",)))
 
 
+def hand_in(
+    reducer: Reducer, server: str = "s9", remaining_time: float | None = None
+) -> list[effects.Effect]:
+    """Client 1 hands in a tunnel that is open at the server."""
+    return reducer.dispatch(ev.ClientArrived(1, open_request(server, remaining_time)), 100.0)
+
+
 def awaiting_first_list() -> Reducer:
     return make_reducer()
 
@@ -42,7 +49,7 @@
 @pytest.mark.parametrize("make", STATES)
 def test_a_list_on_its_way_is_awaited_before_an_unknown_server_is_an_error(make: object) -> None:
     reducer: Reducer = make()  # type: ignore[operator]
-    assert not any(isinstance(effect, effects.Reply) for effect in arrive(reducer, server_name="s9"))
+    assert not any(isinstance(effect, effects.Reply) for effect in hand_in(reducer))
     connects = [
         effect
         for effect in reducer.dispatch(ev.ListReceived(WITH_NEW), 101.5)
@@ -55,27 +62,28 @@
 @pytest.mark.parametrize("received", [WITHOUT_NEW, WITHOUT_ADDRESS])
 def test_a_server_that_the_awaited_list_lacks_is_an_error_at_once(received: ServerList) -> None:
     reducer = awaiting_first_list()
-    arrive(reducer, server_name="s9")
+    hand_in(reducer)
     assert effects.Reply(1, Failure()) in reducer.dispatch(ev.ListReceived(received), 101.5)
     assert not reducer.clients and not reducer.inherited.waiting
 
 
-def test_a_request_that_waits_for_a_list_is_answered_once_at_its_deadline() -> None:
+@pytest.mark.parametrize(("remaining_time", "limit"), [(None, 40.0), (4294967.0, 40.0), (3.0, 3.0)])
+def test_a_request_that_waits_for_a_list_is_answered_once_at_its_deadline(
+    remaining_time: float | None, limit: float
+) -> None:
     reducer = awaiting_first_list()
-    (timer,) = arrive(reducer, server_name="s9")
-    assert timer == effects.SetAnswerTimer(1, INHERITED_TIMEOUT_SECONDS)
-    late = 100.0 + INHERITED_TIMEOUT_SECONDS
-    assert reducer.dispatch(ev.ListRequestFailed(), 110.0) != []
-    assert reducer.dispatch(ev.AnswerTimerDue(1), late) == [effects.Reply(1, Failure())]
+    assert hand_in(reducer, "s9", remaining_time) == [effects.SetAnswerTimer(1, limit)]
+    reducer.dispatch(ev.ListRequestFailed(), 101.0)
+    assert reducer.dispatch(ev.AnswerTimerDue(1), 100.0 + limit) == [effects.Reply(1, Failure())]
     assert not any(
         isinstance(effect, effects.Connect | effects.Reply)
-        for effect in reducer.dispatch(ev.ListReceived(WITH_NEW), late + 0.1)
+        for effect in reducer.dispatch(ev.ListReceived(WITH_NEW), 100.1 + limit)
     )
 
 
 def test_an_attempt_at_a_silent_server_ends_at_the_deadline_of_the_request() -> None:
     reducer = make_reducer()
-    arrive(reducer, server_name="s1")
+    hand_in(reducer, "s1")
     (again,) = reducer.dispatch(ev.SetupEnded(1, 0, EndLine("no-connection", {}), False), 130.0)
     assert isinstance(again, effects.Connect)
     assert 130.0 + again.delay + again.timeout == pytest.approx(100.0 + INHERITED_TIMEOUT_SECONDS)
