A standing connection follows its server to the address that the next list gives

What callers saw: a connection handed in with at=ID whose server the old list has at an address that no longer answers hung there until its time was over, though the new list had come.

Evidence: on a virtual clock, no further dial after the list; a refused dial was already tried where the list says.

Change: after each list, requests whose connection is not up yet and whose server has another address are dialled anew. One that is up stays, as its line is written.

Result: tests/test_inherited_tunnels.py, is_up False, failed before and passes.

--- a/pointgw/net/core/inherited_tunnels.py
+++ b/pointgw/net/core/inherited_tunnels.py
@@ -41,6 +41,7 @@
     client: int
     request: OpenRequest
     deadline: float
+    dialled: effects.Address | None = None  # where a connection is being established
 
 
 class InheritedTunnels:
@@ -76,9 +77,23 @@
         if address is None:
             return self._wait(inherited, remaining, list_is_current)
         self.waiting.pop(client, None)
+        inherited.dialled = address
         timeout = remaining - delay
         return effects.Connect(client, ATTEMPT, address, inherited.request, None, timeout, timeout, delay)
 
+    def connected(self, client: int) -> None:
+        """The connection to the server is up: a later list does not change where the request goes."""
+        self.requests[client].dialled = None
+
+    def relocated(self) -> list[int]:
+        """Clients whose server has another address by now than the one that is being dialled."""
+        return [
+            client
+            for client, inherited in self.requests.items()
+            if inherited.dialled is not None
+            and self.addresses.get(inherited.request.current_server) != inherited.dialled
+        ]
+
     def _wait(
         self, inherited: InheritedRequest, remaining: float, list_is_current: bool
     ) -> effects.SetAnswerTimer | Rejection | None:
--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -272,7 +272,9 @@
     def _setup_connected(self, event: SetupConnected) -> None:
         """Checks again whether the request may be sent: client, list and time have changed meanwhile."""
         client = self.clients.get(event.client)
-        if client is not None and event.client not in self.inherited:
+        if event.client in self.inherited:
+            self.inherited.connected(event.client)
+        elif client is not None:
             tunnel, number = client.tunnel, event.setup
             server = tunnel.setups[number].server.name
             may_write = self.balancer.may_write_request(tunnel, number, self.now)
@@ -281,7 +283,7 @@
                 if tunnel.setups[number].in_progress:
                     self._end_setup(tunnel, number, "moot", False, {})
                 return
-        elif client is None:
+        else:
             self.effects.append(effects.AbandonSetup(event.client, event.setup))
             return
         self.effects.append(effects.WriteRequest(event.client, event.setup))
@@ -353,7 +355,14 @@
         self._update_list(
             event.server_list, False, self.now if event.wall_clock is None else event.wall_clock
         )
-        for number in list(self.inherited.waiting):
+        self._reconnect_inherited()
+
+    def _reconnect_inherited(self) -> None:
+        """After a list: connects the requests that waited for it, and those whose server has moved."""
+        relocated = self.inherited.relocated()
+        for number in relocated:
+            self.effects.append(effects.AbandonSetup(number, 0))
+        for number in [*self.inherited.waiting, *relocated]:
             self._advance_inherited(self.clients[number])
 
     def _list_request_failed(self, event: ListRequestFailed) -> None:
--- a/tests/test_inherited_tunnels.py
+++ b/tests/test_inherited_tunnels.py
@@ -87,3 +87,19 @@
     (again,) = reducer.dispatch(ev.SetupEnded(1, 0, EndLine("no-connection", {}), False), 130.0)
     assert isinstance(again, effects.Connect)
     assert 130.0 + again.delay + again.timeout == pytest.approx(100.0 + INHERITED_TIMEOUT_SECONDS)
+
+
+@pytest.mark.parametrize("is_up", [False, True])
+def test_a_server_that_has_moved_is_dialled_where_the_new_list_says(is_up: bool) -> None:
+    # Guards against a dial that hangs at an address of the old list until the request's time is over.
+    reducer = make_reducer()
+    hand_in(reducer, "s1")
+    if is_up:
+        reducer.dispatch(ev.SetupConnected(1, 0), 100.1)
+    moved = ServerEntry("s1", "active", 0, 1, 0, 0.0, 1.0)
+    requested = reducer.dispatch(
+        ev.ListReceived(ServerList(8, False, (moved,), (("s1", "127.0.0.9", 9111),))), 101.5
+    )
+    dialled = [effect.address for effect in requested if isinstance(effect, effects.Connect)]
+    abandoned = effects.AbandonSetup(1, 0) in requested
+    assert (dialled, abandoned) == (([], False) if is_up else ([("127.0.0.9", 9111)], True))
