A list that nothing has confirmed is no observation of zones without capacity

What callers saw: none reported. On simulated clusters 4 or 6 of 6 balancers that restart with an empty list and have their list 2.5 s later made the cluster close all three zones 3.25 s after the restart, though all had capacity by then: a closed zone's traffic is declined for 16 periods and more.

`observe_zones` reported nought for servers that are not known yet, or that an old list has and have gone, and a zone of nought is proposed for closing.

Change: the state of the list is a type (unconfirmed, current, outdated; `list` in the state line), and an unconfirmed one is observed only once a server has reported or opened a tunnel.

Result: tests/test_old_list.py, both cases of the new test failed before and pass.

--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
+from enum import Enum
 from math import inf
 from random import Random
 from typing import TYPE_CHECKING
@@ -73,6 +74,17 @@
 CLIENT_TIMEOUT_CAP_SECONDS = 3.0
 
 
+class ListStatus(Enum):
+    """How far the server list can be believed; the values appear in the log.
+
+    Unless it is current a newer list may be on its way: that a server is missing from it says nothing.
+    """
+
+    UNCONFIRMED = "unconfirmed"  # from the start-up file or a snapshot; discovery has not answered yet
+    CURRENT = "current"  # discovery has answered, and its watch has not broken since
+    OUTDATED = "outdated"  # the watch broke, a call failed, or discovery was switched
+
+
 @dataclass(slots=True, eq=False)
 class Client:
     """A client connection that has requested a tunnel."""
@@ -110,9 +122,7 @@
         self.discovery = start.discovery
         self.tunnel_names: set[str] = set()  # of the tunnels in `clients`
         self.list_requested = False
-        # Discovery has answered, and its watch has not broken since. Otherwise a newer list may be on its
-        # way, and that a server is missing from the last one says nothing.
-        self.list_is_current = False
+        self.list_status = ListStatus.UNCONFIRMED
         self.timer_due_at = inf
         self.now = now
         self.stop_requested_at = inf  # time of the stop signal
@@ -231,7 +241,8 @@
 
     def _advance_inherited(self, client: Client, delay: float = 0.0) -> None:
         """Connects a tunnel from before this process started to its server, or waits for a list with it."""
-        step = self.inherited.next_step(client.number, self.now, self.list_is_current, delay)
+        is_current = self.list_status is ListStatus.CURRENT
+        step = self.inherited.next_step(client.number, self.now, is_current, delay)
         if isinstance(step, Rejection):
             self._reject_inherited(client, step)
         elif step is not None:
@@ -351,7 +362,7 @@
             FIRST_RETRY_PAUSE_SECONDS,
         )
         self._request_list(self.watch_wait)  # first: the watch continues whatever the list holds
-        self.list_is_current = True
+        self.list_status = ListStatus.CURRENT
         self._update_list(
             event.server_list, False, self.now if event.wall_clock is None else event.wall_clock
         )
@@ -367,7 +378,8 @@
 
     def _list_request_failed(self, event: ListRequestFailed) -> None:
         """Requests the list again before it counts as known (rule 3), at a random time to spread the load."""
-        self.list_requested = self.list_is_current = False
+        self.list_requested = False
+        self._mark_list_outdated()
         if self.list_is_pushed:
             self._request_list(0.0, self.pushed_retry_pause)
         elif event.silent:  # the changes it missed soon count as known
@@ -383,13 +395,17 @@
     def _settings_reloaded(self, event: SettingsReloaded) -> None:
         """Switches to another discovery, which may number its versions anew: requests the complete list."""
         if event.discovery != self.discovery:
-            self.discovery, self.list_version = event.discovery, None
-            self.list_requested = self.list_is_current = False
+            self.discovery, self.list_version, self.list_requested = event.discovery, None, False
+            self._mark_list_outdated()
             # That the former discovery was unreachable says nothing about this one.
             self.retry_pause = FIRST_RETRY_PAUSE_SECONDS
             self.effects.append(effects.SwitchDiscovery(event.discovery, event.names))
             self._request_list(0.0)
 
+    def _mark_list_outdated(self) -> None:
+        if self.list_status is ListStatus.CURRENT:
+            self.list_status = ListStatus.OUTDATED
+
     def _update_list(self, received: ServerList, cached: bool, wall_clock: float) -> None:
         for name, host, port in received.addresses:
             self.addresses[name] = (host, port)
@@ -534,6 +550,6 @@
             "cold": sum(server.warm_at > self.now for server in active),
             "c": float(self.balancer.c),
             "watching": self.balancer.is_watching_list,
-            "list_current": self.list_is_current,
+            "list": self.list_status.value,
             "awaiting_list": len(self.inherited.waiting),
         }
--- a/pointgw/net/run/cluster.py
+++ b/pointgw/net/run/cluster.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import os
 import sys
 import tempfile
@@ -23,7 +24,7 @@
 from pointgw.cluster.transport import ClusterTransport
 from pointgw.cluster.wire import Keys
 from pointgw.interface import Profile
-from pointgw.net.core.reducer import Reducer
+from pointgw.net.core.reducer import ListStatus, Reducer
 from pointgw.net.wire.start_up import StartUpSettings
 from pointgw.policy import Balancer, Server, State, Tunnel
 
@@ -122,6 +123,8 @@
     def _observe(self, now: float) -> None:
         if self.transport is None or self.reducer is None or not self.transport.node.observation_is_due(now):
             return
+        if not has_evidence(self.reducer):
+            return
         while (
             self.declined_clients
             and next(iter(self.declined_clients.values()))[0] < now - DECLINED_COUNTED_FOR
@@ -215,6 +218,17 @@
     os.replace(path, file)
 
 
+def has_evidence(reducer: Reducer) -> bool:
+    """Whether discovery has answered since the start, or a server has reported or opened a tunnel.
+
+    Guards against the closing of zones because many balancers start with an empty or outdated list: servers
+    that are not known yet are no lack of capacity.
+    """
+    return reducer.list_status is not ListStatus.UNCONFIRMED or any(
+        server.reported_at > -math.inf or server.tunnels for server in reducer.balancer.active_servers
+    )
+
+
 def observe_zones(reducer: Reducer, zone_count: int, declined: list[Profile]) -> tuple[ZoneObservation, ...]:
     """This balancer's observation of each zone; capacity and load in warm servers of mean size.
 
--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import asyncio
 from random import Random
 
 import pytest
 
+from cluster_world import SimulatedCluster
 from helpers import RecordingHost, make_site
+from pointgw.cluster.transport import ClusterTransport
 from pointgw.interface import ServerEntry
 from pointgw.net.core import effects
 from pointgw.net.core import events as ev
 from pointgw.net.core.reducer import Reducer
+from pointgw.net.run.cluster import ClusterRunner
 from pointgw.net.wire.lines import EndLine
 from pointgw.net.wire.server_list import ServerList
 from pointgw.policy import Balancer
@@ -95,3 +99,30 @@
     for server in new:
         balancer.probe_ended(balancer.servers[server.server], "ok", {"load": 0.0}, 101.6)
     assert all((balancer.servers[server.server].warm_at > 102.0) is cold for server in new)
+
+
+def observing_runner(known: int) -> ClusterRunner:
+    """A member of a cluster of six whose balancer has so many servers in its old list."""
+    node = SimulatedCluster(6).nodes[0]
+    runner = ClusterRunner(node.settings, node.keys, (), ("", 0), "", ("a", "b", "c"), ("x", "y"))
+    # Its loop is not used.
+    runner.transport = ClusterTransport(
+        node, (), asyncio.new_event_loop(), lambda now: None, lambda now: None
+    )
+    runner.reducer = make_reducer(server_count=known)
+    return runner
+
+
+@pytest.mark.parametrize("known", [0, 2])
+def test_a_list_that_is_not_confirmed_is_no_observation_of_a_zone_without_capacity(known: int) -> None:
+    # Guards against zones that are closed by agreement as most balancers restart with an empty or old list.
+    runner = observing_runner(known)
+    assert runner.transport is not None and runner.reducer is not None
+    runner._observe(100.0)
+    assert not runner.transport.node.observations.entries
+    runner.reducer.dispatch(ev.ListReceived(NEW_SERVER), 101.5)
+    runner._observe(101.5)
+    assert len(runner.transport.node.observations.entries) == 3
+    runner.reducer.dispatch(ev.ListRequestFailed(), 102.0)
+    runner._observe(103.0)
+    assert runner.transport.node.observed_at == 103.0
