--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -105,10 +105,9 @@
     """A member of a cluster of six whose balancer has so many servers in its old list."""
     node = SimulatedCluster(6).nodes[0]
     runner = ClusterRunner(node.settings, node.keys, (), ("", 0), "", ("a", "b", "c"), ("x", "y"))
-    # Its loop is not used.
-    runner.transport = ClusterTransport(
-        node, (), asyncio.new_event_loop(), lambda now: None, lambda now: None
-    )
+    unused_loop = asyncio.new_event_loop()
+    runner.transport = ClusterTransport(node, (), unused_loop, lambda now: None, lambda now: None)
+    unused_loop.close()
     runner.reducer = make_reducer(server_count=known)
     return runner
 
@@ -118,6 +117,8 @@
     # Guards against zones that are closed by agreement as most balancers restart with an empty or old list.
     runner = observing_runner(known)
     assert runner.transport is not None and runner.reducer is not None
+    for server in runner.reducer.balancer.servers.values():
+        runner.reducer.balancer.probe_ended(server, "no-connection", {}, 100.0)
     runner._observe(100.0)
     assert not runner.transport.node.observations.entries
     runner.reducer.dispatch(ev.ListReceived(NEW_SERVER), 101.5)
