Rule 4: a tunnel's load is not taken as nought because the first list was empty

An empty list, or one of draining servers, made it 0: each control pass ended in ZeroDivisionError, and once tunnels were open the slow-start rate was far too high.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -292,8 +292,10 @@
         )
         # Step of c; what one placement adds to a busy figure.
         self.threshold_step = self.busy_per_tunnel = DEFAULT_LOAD_STEP if self.busy_is_fraction else 1.0
-        # What one tunnel adds to a server's load, by reports; by the list and the settings alone.
-        self.load_per_tunnel = self.initial_load_per_tunnel = DEFAULT_LOAD_STEP
+        # What one tunnel adds to a server's load, by reports; by the list and the quota, None: not known.
+        self.load_per_tunnel = DEFAULT_LOAD_STEP
+        self.listed_load_per_tunnel: float | None = None
+        self.largest_server_count = 0  # active servers in the largest list so far
         # Estimated load from which a server is not ready; reported load that migration aims at.
         self.load_limit = self.migration_target = MAX_LOAD_LIMIT
         self.mean_load: float | None = None
@@ -384,19 +386,33 @@
                 # What failed was a list of servers that have gone: it says nothing of the present ones.
                 self.consecutive_unopened = 0
                 self.unopened_servers.clear()
-        if not self.arrival_rate:
-            self.arrival_rate = INITIAL_ARRIVAL_RATE * max(1, len(self.active_servers)) / self.balancer_count
-            self.load_per_tunnel = (
-                min(DEFAULT_LOAD_STEP, len(self.active_servers) / self.tunnel_quota)
-                if self.tunnel_quota
-                else DEFAULT_LOAD_STEP
-            )
-            self.initial_load_per_tunnel = self.load_per_tunnel
-            self._earn_probe_credit(PERIODIC_PROBE_SHARE * self.arrival_rate * HISTORY_SECONDS)
+        self._update_initial_estimates()
         if is_cached and self.list_is_polled and not self.is_watching_list:
             self._request_list(now)
         self._serve_queue(now)
 
+    def _update_initial_estimates(self) -> None:
+        """Estimates a tunnel's load and the arrivals by the list and the settings alone.
+
+        Guards rule 4 after a start with an empty or partial list: the estimate of the load follows the
+        largest list so far, as servers that are listed later had their part of the quota all the time.
+        """
+        count = len(self.active_servers)
+        if count <= self.largest_server_count:
+            return
+        is_first, self.largest_server_count = not self.largest_server_count, count
+        if self.tunnel_quota:
+            self.listed_load_per_tunnel = min(DEFAULT_LOAD_STEP, count / self.tunnel_quota)
+        if is_first:
+            self.load_per_tunnel = self._min_load_per_tunnel()
+            initial_rate = INITIAL_ARRIVAL_RATE * count / self.balancer_count
+            self.arrival_rate = max(self.arrival_rate, initial_rate)
+            self._earn_probe_credit(PERIODIC_PROBE_SHARE * self.arrival_rate * HISTORY_SECONDS)
+
+    def _min_load_per_tunnel(self) -> float:
+        """Returns a lower bound of a tunnel's load; a cautious, high one while the list has not given any."""
+        return DEFAULT_LOAD_STEP if self.listed_load_per_tunnel is None else self.listed_load_per_tunnel
+
     def _mark_unconfirmed(self, server: Server, now: float) -> None:
         """Treats a server as cold from now on, as its process may have restarted before this balancer did.
 
@@ -1616,7 +1632,7 @@
         # Rule 4: a starting server can take as many tunnels a second as fill it over its warm-up window. The
         # settings give a lower bound of a tunnel's load: guards against a storm, or many tunnels that seem
         # light, which would raise the rate.
-        warm_rate = 1.0 / (max(self.load_per_tunnel, self.initial_load_per_tunnel) * self.warm_up_window)
+        warm_rate = 1.0 / (max(self.load_per_tunnel, self._min_load_per_tunnel()) * self.warm_up_window)
         self.slow_start_rate = (
             SLOW_START_SAFETY_FACTOR
             * self.overload_factor
