A start repeats failed calls for a pushed list for a second before it serves by the old one

Where lists are pushed, what the agent has counts as told from the first moment. A first call that failed at once (503, a reset) made the balancer serve by the start-up file's list, and a request went to a server that the agent had as draining.

"Answered or failed" were one event for the start: any failure ended its wait.

--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -62,6 +62,7 @@
 DESCRIPTORS_PER_TUNNEL = 2  # its client's and its server's
 CLOCK_RESOLUTION = 0.001  # seconds, resolution of the event loop's clock
 EXIT_CHECK_INTERVAL = 0.01  # seconds between two checks whether the last connections have closed
+FIRST_LIST_SECONDS = 1.0  # in which a start repeats failed calls for a pushed list before it serves without
 BIND_TIMEOUT = 8.0  # seconds for which binding to an address in use is retried
 BIND_RETRY_DELAY = 0.25  # seconds between two attempts to bind
 REREAD_DELAY = 0.25  # seconds until a rejected start-up file is read again
@@ -123,7 +124,8 @@
         self.timeout_check = PeriodicTimer(loop, "look", lambda: CHECK_INTERVAL, self._check_timeouts)
         self.state_log = PeriodicTimer(loop, "report", self._state_log_interval, self._log_state)
         self.exit_check: PeriodicTimer | None = None
-        # Set once discovery has answered or failed to, or the process stops.
+        # Set once discovery has answered, or a call fails after `first_list_due`, or the process stops.
+        self.first_list_due = self.now() + FIRST_LIST_SECONDS
         self.discovery_answered: asyncio.Future[None] = loop.create_future()
         self.ended: asyncio.Future[None] = loop.create_future()
 
@@ -338,7 +340,10 @@
                     server for (client, _), server in self.servers.items() if client == event.client
                 ]:
                     self.loop.call_soon(server.fail)
-        if isinstance(event, ListReceived | ListRequestFailed) and not self.discovery_answered.done():
+        if not self.discovery_answered.done() and (
+            isinstance(event, ListReceived)
+            or (isinstance(event, ListRequestFailed) and self.now() >= self.first_list_due)
+        ):
             self.discovery_answered.set_result(None)
         if _trace.isEnabledFor(logging.DEBUG):
             _trace.debug("step", extra={"fields": {"took": event, "asks": requested}})
--- a/tests/crossing/test_list_on_its_way.py
+++ b/tests/crossing/test_list_on_its_way.py
@@ -19,7 +19,8 @@
     run_scenario,
     wait_until,
 )
-from pointgw.net.run.balancer_process import BalancerProcess
+from pointgw.net.core.reducer import ListStatus
+from pointgw.net.run.balancer_process import FIRST_LIST_SECONDS, BalancerProcess
 
 STANDING_AT_NEW = open_line(timeout_ms=40000, extra=",at=s-1")
 
@@ -47,6 +48,30 @@
     run_scenario(scenario, World(known_servers=1), answer_first_request=False)
 
 
+def test_a_pushed_list_whose_first_call_fails_is_asked_for_again_before_serving() -> None:
+    # Guards rule 3: what the agent has counts as known from the start, and the last known list may be old.
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        (await world.discovery.next_request()).respond(b"", b"503 Busy")
+        request = await world.discovery.next_request()
+        assert process.connections.listener is None
+        request.send_list(2, world.list_entry(0, status="draining"))
+        await wait_until(lambda: process.connections.listener is not None)
+        client = await world.connect_client()
+        client.send(open_line())
+        assert (await world.next_setup())[0] == 1
+
+    run_scenario(scenario, World(mode="automatic"), answer_first_request=False)
+
+
+def test_an_agent_that_refuses_every_call_delays_the_start_by_a_second() -> None:
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        world.discovery.stop()
+        await wait_until(lambda: process.connections.listener is not None, FIRST_LIST_SECONDS + 1.0)
+        assert process.reducer.list_status is ListStatus.UNCONFIRMED
+
+    run_scenario(scenario, World(mode="automatic"), answer_first_request=False)
+
+
 @pytest.mark.parametrize("ending", ["client leaves", "stop"])
 def test_a_standing_connection_that_waits_for_a_list_keeps_its_other_endings(ending: str) -> None:
     async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
