Rule 2: an unknown zone or cell is the same as none, and a place counts as listed when sent

Cause: -1 stood for each unreadable group, and for each unknown zone, and was compared as a value; a missing group was read as cell 0, a missing start as long ago, 1.5 as 1, true as 1, an unreadable size as the mean. The place of the first attempt was read at the repeat, after its entry could have changed.

Change: `Location.recognises` holds the rule once for policy and guard; an attempt keeps its place as listed when it was sent. What is missing or unreadable is unknown: no zone or cell, started now, the smallest size. Each unusable value is logged once, with server, key and value. Losses of a process count unknown cells as one still: there a wrong "same" makes servers cold, not filled (rule 4).

--- a/pointgw/interface.py
+++ b/pointgw/interface.py
@@ -65,16 +65,42 @@
     max_nines: float = 0.0  # number of nines that count in full; 0: unknown
 
 
+UNKNOWN_PLACE = -1  # a zone, cell or kind that the list does not state, or not readably
+UNKNOWN_WEIGHT = -1.0  # the same for a weight
+
+
+class Location(NamedTuple):
+    """Where a server is, as the list states it; either part may be UNKNOWN_PLACE."""
+
+    zone: int
+    cell: int
+
+    def recognises(self, first: Location, scope: DedupScope) -> bool:
+        """Rule 2: whether a server here recognises a request that one at `first` may have executed.
+
+        An unknown zone or cell is the same as none, not even as another unknown one.
+        """
+        if scope == "all":
+            return True
+        here, there = (self.zone, first.zone) if scope == "zone" else (self.cell, first.cell)
+        return here == there != UNKNOWN_PLACE
+
+
 class ServerEntry(NamedTuple):
     """One entry of the server list."""
 
     server: str
     state: Literal["active", "leaving", "left"]
-    kind: int  # index of the hardware kind
-    cell: int
-    zone: int
+    kind: int  # index of the hardware kind, or UNKNOWN_PLACE
+    cell: int  # UNKNOWN_PLACE: not known
+    zone: int  # index of the zone, or UNKNOWN_PLACE
     started_at: float  # 0: long ago
-    weight: float  # relative size
+    weight: float  # relative size, or UNKNOWN_WEIGHT
+
+    @property
+    def location(self) -> Location:
+        """The server's zone and cell."""
+        return Location(self.zone, self.cell)
 
 
 class Host(Protocol):
--- a/pointgw/net/core/guard.py
+++ b/pointgw/net/core/guard.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from pointgw.interface import Ending, Profile, ServerEntry
+from pointgw.interface import Ending, Location, Profile, ServerEntry
 from pointgw.net.invariant import check_invariant
 
 NOT_EXECUTED_ENDINGS: frozenset[Ending] = frozenset(("full", "no-connection", "moot"))
@@ -34,7 +34,7 @@
 class SentAttempt:
     """An attempt whose request line was written."""
 
-    server: str
+    location: Location  # of the server, as it was listed then
     sent_at: float
     in_progress: bool = True
     may_have_run: bool = True
@@ -61,7 +61,7 @@
         self.only_draining_excludes = only_draining_excludes
         self.requests: dict[int, GuardedRequest] = {}
         self.excluded: set[str] = set()  # servers that must get nothing new
-        self.locations: dict[str, tuple[int, int]] = {}  # zone and cell of each server
+        self.locations: dict[str, Location] = {}  # by server
 
     # Events.
 
@@ -70,7 +70,7 @@
         listed = set()
         for entry in entries:
             listed.add(entry.server)
-            self.locations[entry.server] = entry.zone, entry.cell
+            self.locations[entry.server] = entry.location
             if entry.state == "active":
                 self.excluded.discard(entry.server)
             elif entry.state == "leaving" or not self.only_draining_excludes:
@@ -121,7 +121,7 @@
             and self._check(server not in self.excluded, Violation.DRAINING)
         )
         if allowed:
-            guarded.attempts[attempt] = SentAttempt(server, now)
+            guarded.attempts[attempt] = SentAttempt(self.locations[server], now)
         return allowed
 
     def may_refuse(self, request: int) -> bool:
@@ -138,8 +138,7 @@
             return True
         if profile.semantics == "once-only" or now >= first.sent_at + profile.dedup_window:
             return False
-        (zone, cell), (first_zone, first_cell) = self.locations[server], self.locations[first.server]
-        return {"all": True, "zone": zone == first_zone, "cell": cell == first_cell}[profile.dedup_scope]
+        return self.locations[server].recognises(first.location, profile.dedup_scope)
 
     @staticmethod
     def _is_harmless_to_refuse(guarded: GuardedRequest) -> bool:
--- a/pointgw/net/core/start_times.py
+++ b/pointgw/net/core/start_times.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Iterator
 
 from pointgw.interface import ServerEntry
-from pointgw.net.wire.server_list import INVALID_START
+from pointgw.net.wire.server_list import UNKNOWN_START
 
 NOT_STARTING = 0.0  # reported for a server that started long ago
 
@@ -53,7 +53,7 @@
         least load."""
         if reported == NOT_STARTING:
             return NOT_STARTING
-        if reported == INVALID_START:
+        if reported == UNKNOWN_START:
             return now
         stepped = abs(wall_clock - now) > CLOCK_TOLERANCE_SECONDS
         ages = (
--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -38,6 +38,7 @@
 from pointgw.net.run.client_connections import ClientConnections
 from pointgw.net.run.connection_state import ConnectionState
 from pointgw.net.run.discovery import DiscoveryClient
+from pointgw.net.run.invalid_fields import InvalidFieldLog
 from pointgw.net.run.periodic import PeriodicTimer, count_exception
 from pointgw.net.run.probe_pool import ProbePool
 from pointgw.net.run.request_log import RequestLog
@@ -121,6 +122,8 @@
         self.stopping = False
         self.reload_count = 0  # signals to reload received so far
         self.request_log, self.route_evidence = RequestLog(), RouteEvidence()
+        self.invalid_field_log = InvalidFieldLog()
+        self.invalid_field_log.record(start_up.known_list)
         self.timeout_check = PeriodicTimer(loop, "look", lambda: CHECK_INTERVAL, self._check_timeouts)
         self.state_log = PeriodicTimer(loop, "report", self._state_log_interval, self._log_state)
         self.exit_check: PeriodicTimer | None = None
--- a/pointgw/net/run/cluster.py
+++ b/pointgw/net/run/cluster.py
@@ -237,13 +237,14 @@
     balancer, now = reducer.balancer, reducer.now
     capacity, warm_capacity, used = [0.0] * zone_count, [0.0] * zone_count, [0.0] * zone_count
     for server in balancer.active_servers:
-        if 0 <= server.zone < zone_count:
+        zone = server.location.zone
+        if 0 <= zone < zone_count:
             size = server.relative_size / balancer.mean_relative_size
-            warm_capacity[server.zone] += size
+            warm_capacity[zone] += size
             share = _usable_share(balancer, server, now)
-            capacity[server.zone] += size * share
+            capacity[zone] += size * share
             load = server.reported_load if server.reported_busy is not None else balancer.mean_load or 0.0
-            used[server.zone] += size * share * load
+            used[zone] += size * share * load
     count, open_tunnels = dict.fromkeys(balancer.profiles, 0), 0
     for client in reducer.clients.values():
         if client.tunnel.state is not State.ENDED:
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -94,8 +94,8 @@
             self.fail(str(error))
             return
         self.failing = False
-        if received.invalid_entries:
-            self.process.count_refusal("list entry", f"{received.invalid_entries} unusable")
+        if invalid_count := self.process.invalid_field_log.record(received):
+            self.process.count_refusal("list entry", f"{invalid_count} unusable values")
         self.end_call(keep=response.keep_alive)
         self.process.submit(ListReceived(received, time.time()))
 
--- a/pointgw/net/wire/server_list.py
+++ b/pointgw/net/wire/server_list.py
@@ -10,14 +10,14 @@
 
 import httptools
 
-from pointgw.interface import ServerEntry
+from pointgw.interface import UNKNOWN_PLACE, UNKNOWN_WEIGHT, ServerEntry
 from pointgw.site import MalformedInputError
 
 LIST_PATH = "/registry/instances"
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_SHOWN_VALUE = 80  # characters of an unusable value in the log
 MAX_HEAD_BYTES = 64 * 1024  # before the body, including what arrived of the body with the head
-INVALID_START = -1.0  # in place of an unreadable start time
-UNKNOWN_CELL = -1  # in place of an unreadable group
+UNKNOWN_START = -1.0  # in place of a start time that is missing or unreadable
 STATES: dict[str, Literal["active", "leaving", "left"]] = {
     "up": "active", "draining": "leaving", "removed": "left",
 }  # fmt: skip
@@ -31,6 +31,20 @@
     kinds: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class InvalidField:
+    """A value of the list that can't be used; `server` is empty where the entry has no name."""
+
+    server: str
+    key: str
+    value: str  # its JSON, cut to `MAX_SHOWN_VALUE` characters
+
+    @classmethod
+    def create(cls, server: str, key: str, value: object) -> InvalidField:
+        """For a decoded JSON value."""
+        return cls(server, key, json.dumps(value)[:MAX_SHOWN_VALUE])
+
+
 @dataclass(frozen=True, slots=True)
 class ServerList:
     """A complete list or changes to it."""
@@ -39,58 +53,74 @@
     is_complete: bool
     servers: tuple[ServerEntry, ...]
     addresses: tuple[tuple[str, str, int], ...]  # server name, host, port
-    invalid_entries: int = 0  # entries left out or read in part
+    invalid_fields: tuple[InvalidField, ...] = ()
 
 
 def parse_server_list(value: Any, names: DeploymentNames) -> ServerList:
     """Reads the list in a decoded JSON value. Raises MalformedInputError if there is none.
 
     An invalid entry does not hide the others: guards rule 3, as every entry of an answer counts as known.
-    An entry without a name is left out; an invalid status or value is replaced by the most restrictive one
-    (a weight by 1).
+    An entry without a name is left out; an invalid status is replaced by the most restrictive one, another
+    value by one that stands for unknown. A missing value is unknown, too.
     """
     servers: list[ServerEntry] = []
     addresses: list[tuple[str, str, int]] = []
-    invalid_entries = 0
+    invalid_fields: list[InvalidField] = []
     try:
         version, is_complete, entries = int(value["index"]), bool(value["snapshot"]), iter(value["endpoints"])
     except (KeyError, TypeError, ValueError, OverflowError) as error:
         raise MalformedInputError(f"expected a list of servers: {type(error).__name__} {error}") from None
     for entry in entries:
         if not isinstance(entry, dict) or not isinstance(entry.get("name"), str):
-            invalid_entries += 1
+            invalid_fields.append(InvalidField.create("", "name", entry))
             continue
-        parsed, is_valid = _parse_entry(entry, names)
+        parsed = _parse_entry(entry, names)
         servers.append(parsed)
         address = _parse_address(entry.get("address"))
         if address is not None:
             addresses.append((parsed.server, *address))
-        invalid_entries += not is_valid or (address is None and bool(entry.get("address")))
-    return ServerList(version, is_complete, tuple(servers), tuple(addresses), invalid_entries)
+        invalid_fields += _find_invalid_fields(entry, parsed, names, address is not None)
+    return ServerList(version, is_complete, tuple(servers), tuple(addresses), tuple(invalid_fields))
 
 
-def _parse_entry(entry: dict[str, Any], names: DeploymentNames) -> tuple[ServerEntry, bool]:
-    """Reads an entry; tells whether all of it was valid."""
-    started, weight = (
-        _parse_non_negative(entry.get("since_ms") or 0),
-        _parse_non_negative(entry.get("weight", 1.0)),
-    )
-    cell, status = _parse_non_negative(entry.get("group") or 0), entry.get("status")
-    state = STATES.get(status, "leaving") if isinstance(status, str) else "leaving"
-    parsed = ServerEntry(
+def _parse_entry(entry: dict[str, Any], names: DeploymentNames) -> ServerEntry:
+    started, weight = _parse_non_negative(entry.get("since_ms")), _parse_non_negative(entry.get("weight"))
+    cell, status = _parse_non_negative(entry.get("group")), entry.get("status")
+    return ServerEntry(
         server=entry["name"],
-        state=state,  # an unknown status allows nothing new
+        state=STATES.get(status, "leaving") if isinstance(status, str) else "leaving",
         kind=_index_of(entry.get("type"), names.kinds),
-        cell=int(cell) if cell is not None else UNKNOWN_CELL,
+        cell=int(cell) if cell is not None and cell.is_integer() else UNKNOWN_PLACE,
         zone=_index_of(entry.get("zone"), names.zones),
-        started_at=started / 1e3 if started is not None else INVALID_START,
-        weight=weight if weight is not None else 1.0,
+        started_at=started / 1e3 if started is not None else UNKNOWN_START,
+        weight=weight if weight is not None else UNKNOWN_WEIGHT,
     )
-    return parsed, None not in (started, weight, cell) and isinstance(status, str)
+
+
+def _find_invalid_fields(
+    entry: dict[str, Any], parsed: ServerEntry, names: DeploymentNames, has_address: bool
+) -> list[InvalidField]:
+    """The fields that the entry states, but not in a usable way; a status has to be there."""
+    is_usable = {
+        "status": isinstance(entry.get("status"), str) and entry["status"] in STATES,
+        "type": parsed.kind != UNKNOWN_PLACE or not names.kinds,
+        "group": parsed.cell != UNKNOWN_PLACE,
+        "zone": parsed.zone != UNKNOWN_PLACE or not names.zones,
+        "since_ms": parsed.started_at != UNKNOWN_START,
+        "weight": parsed.weight != UNKNOWN_WEIGHT,
+        "address": has_address,
+    }
+    return [
+        InvalidField.create(parsed.server, key, entry.get(key))
+        for key, usable in is_usable.items()
+        if not usable and (key in entry or key == "status")
+    ]
 
 
 def _parse_non_negative(value: Any) -> float | None:
     """A finite number, zero or more; None: `value` is not one."""
+    if isinstance(value, bool):
+        return None
     try:
         number = float(value)
     except (TypeError, ValueError, OverflowError):
@@ -106,7 +136,7 @@
 
 
 def _index_of(name: object, names: Sequence[str]) -> int:
-    return names.index(name) if isinstance(name, str) and name in names else -1
+    return names.index(name) if isinstance(name, str) and name in names else UNKNOWN_PLACE
 
 
 def parse_server_list_body(data: bytes, names: DeploymentNames) -> ServerList:
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -45,7 +45,16 @@
 from random import Random
 from typing import NamedTuple
 
-from pointgw.interface import Ending, Host, Profile, Report, ServerEntry, Site
+from pointgw.interface import (
+    UNKNOWN_WEIGHT,
+    Ending,
+    Host,
+    Location,
+    Profile,
+    Report,
+    ServerEntry,
+    Site,
+)
 
 WINDOW_OFFERS = 20  # first offers after which SR_dyn adapts c
 MIN_WINDOW_OFFERS = 10  # first offers that a window closed by time needs to change c
@@ -134,6 +143,7 @@
     __slots__ = (
         "ended_in_error",
         "in_progress",
+        "location",
         "may_have_run",
         "sent_at",
         "server",
@@ -144,6 +154,9 @@
     def __init__(self, server: Server, now: float) -> None:
         self.server, self.sent_at, self.in_progress, self.may_have_run = server, now, True, True
         self.server_started_at = server.started_at  # identifies the process that was selected
+        self.location = (
+            server.location
+        )  # as listed then: what recognises a repeat may be listed elsewhere later
         self.was_opened = self.ended_in_error = False
 
 
@@ -198,7 +211,7 @@
 
     def __init__(self, name: str) -> None:
         self.name, self.name_hash = name, _hash_name(name)
-        self.cell, self.zone, self.started_at, self.relative_size = 0, 0, 0.0, 1.0
+        self.location, self.started_at, self.relative_size = Location(0, 0), 0.0, 1.0
         self.active = self.listed = self.stale = False
         self.tunnels: dict[Tunnel, None] = {}  # own open tunnels, oldest first
         self.tunnels_by_group: dict[str, int] = {}  # number of own open tunnels of each group
@@ -345,11 +358,7 @@
         for entry in entries:
             server = self.servers.get(entry.server) or Server(entry.server)
             self.servers[entry.server] = server
-            server.cell, server.zone, server.relative_size = (
-                entry.cell,
-                entry.zone,
-                entry.weight if self.sizes_listed else 1.0,
-            )
+            server.location, server.relative_size = entry.location, self._relative_size(entry)
             if entry.started_at != server.started_at:
                 if server.started_at or server.listed:
                     self._mark_process_missing(server, entry.started_at)
@@ -391,6 +400,14 @@
             self._request_list(now)
         self._serve_queue(now)
 
+    def _relative_size(self, entry: ServerEntry) -> float:
+        """Returns the listed size of a server; an unknown one counts as the smallest, which bears least."""
+        if not self.sizes_listed:
+            return 1.0
+        if entry.weight != UNKNOWN_WEIGHT:
+            return entry.weight
+        return min((server.relative_size for server in self.active_servers), default=1.0)
+
     def _update_initial_estimates(self) -> None:
         """Estimates a tunnel's load and the arrivals by the list and the settings alone.
 
@@ -735,11 +752,9 @@
             return True
         if tunnel.profile.semantics == "once-only":
             return False
-        first, scope = next(s for s in tunnel.setups if s.may_have_run), tunnel.profile.dedup_scope
-        in_scope = scope == "all" or (
-            first.server.zone == server.zone if scope == "zone" else first.server.cell == server.cell
-        )
-        return in_scope and now < first.sent_at + tunnel.profile.dedup_window
+        first = next(s for s in tunnel.setups if s.may_have_run)
+        is_recognised = server.location.recognises(first.location, tunnel.profile.dedup_scope)
+        return is_recognised and now < first.sent_at + tunnel.profile.dedup_window
 
     @staticmethod
     def may_decline(tunnel: Tunnel) -> bool:
@@ -773,7 +788,7 @@
         in_zone = [
             server
             for server in with_group or ready
-            if server.zone == (self.zone if tunnel.planned_zone < 0 else tunnel.planned_zone)
+            if server.location.zone == (self.zone if tunnel.planned_zone < 0 else tunnel.planned_zone)
         ]
         fallback = (
             self._preferred_servers(tunnel, ready)
@@ -1324,9 +1339,10 @@
 
     def _record_process_loss(self, server: Server, now: float) -> None:
         """Records that a server was found without a process; what is too old to matter is dropped."""
-        losses = [loss for loss in self.process_losses[server.cell] if now - loss.at < self.warm_up_window]
+        cell = server.location.cell
+        losses = [loss for loss in self.process_losses[cell] if now - loss.at < self.warm_up_window]
         losses.append(ProcessLoss(server, now, not server.unconfirmed))
-        self.process_losses[server.cell] = losses
+        self.process_losses[cell] = losses
 
     def _forget_losses_of_old_list(self) -> None:
         """Drops the losses at servers that the list lacks and none has confirmed since this balancer started.
@@ -1345,7 +1361,7 @@
         power: a balancer without tunnels there would fill such a server at once. The cost: servers that were
         idle before are taken to be cold.
         """
-        losses = self.process_losses[server.cell]
+        losses = self.process_losses[server.location.cell]
         if len(losses) < MIN_PROCESS_LOSSES:
             return False
         first_loss, last_loss = losses[-MIN_PROCESS_LOSSES].at, losses[-1].at
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -396,7 +396,7 @@
     balancer.setup_ended(tunnel, 0, ending, False, {}, 100.0)
     assert host.request_names() == [requested]
     if profile is ZONE:
-        assert host.requests[0][2].zone == servers[0].zone
+        assert host.requests[0][2].location.zone == servers[0].location.zone
 
 
 @pytest.mark.parametrize(
@@ -698,7 +698,7 @@
     if has_tunnel:
         balancer.tunnel_inherited(make_tunnel(balancer), server, 98.0)
     for other in others[:lost]:
-        other.cell = server.cell if same_cell else other.cell
+        other.location = server.location if same_cell else other.location
         balancer.probe_ended(other, "no-connection", {}, 100.0)
     if cold:
         balancer._place(make_tunnel(balancer), 101.0)
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -6,7 +6,7 @@
 
 from pointgw.interface import ServerEntry
 from pointgw.net.core.start_times import StartTimes
-from pointgw.net.wire.server_list import INVALID_START
+from pointgw.net.wire.server_list import UNKNOWN_START
 
 WARM_UP = 20.0
 BEGAN = 1_000_000.0  # both clocks at the start of the process
@@ -36,7 +36,7 @@
     assert translated(times, reported, now + 9.0, now + 9.0) == started  # a later step changes nothing
 
 
-@pytest.mark.parametrize("reported", [INVALID_START, BEGAN + 10 * HOUR])
+@pytest.mark.parametrize("reported", [UNKNOWN_START, BEGAN + 10 * HOUR])
 def test_an_impossible_start_is_taken_as_now(reported: float) -> None:
     times, now = StartTimes(WARM_UP), BEGAN + 50.0
     assert translated(times, reported, now, now) == now
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,16 +1,18 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 
 import pytest
 
+from pointgw.interface import UNKNOWN_PLACE, UNKNOWN_WEIGHT, ServerEntry
 from pointgw.net.wire import lines
 from pointgw.net.wire.server_list import (
-    INVALID_START,
     MAX_BODY_BYTES,
     MAX_HEAD_BYTES,
-    UNKNOWN_CELL,
+    UNKNOWN_START,
     DeploymentNames,
+    InvalidField,
     Response,
     encode_list_request,
     parse_server_list_body,
@@ -177,31 +179,65 @@
             endless.feed(b"X-More: " + b"y" * 100 + b"\r\n")
 
 
+READABLE = {
+    "name": "s",
+    "status": "up",
+    "zone": "a",
+    "type": "m",
+    "group": 2,
+    "since_ms": 2500,
+    "weight": 0.5,
+}
+
+
 @pytest.mark.parametrize(
-    ("entry", "expected"),
+    ("field", "value", "read", "unknown"),
     [
-        ('{"name":"s"}', ("s", "leaving", -1, 0, -1, 0.0, 1.0)),
-        ('{"name":"s","status":"up","address":"127.0.0.1:99999"}', ("s", "active", -1, 0, -1, 0.0, 1.0)),
-        ('{"name":"s","status":"up","address":"127.0.0.1:0"}', ("s", "active", -1, 0, -1, 0.0, 1.0)),
-        ('{"name":"s","status":"up","weight":NaN}', ("s", "active", -1, 0, -1, 0.0, 1.0)),
-        ('{"name":"s","status":"up","weight":-1}', ("s", "active", -1, 0, -1, 0.0, 1.0)),
-        ('{"name":"s","status":"up","since_ms":1e999}', ("s", "active", -1, 0, -1, INVALID_START, 1.0)),
-        ('{"name":"s","status":"up","since_ms":-5}', ("s", "active", -1, 0, -1, INVALID_START, 1.0)),
-        ('{"name":"s","status":"up","group":"x"}', ("s", "active", -1, UNKNOWN_CELL, -1, 0.0, 1.0)),
-        ('{"name":7,"status":"up"}', None),
-        ("null", None),
+        ("status", None, "state", "leaving"),
+        ("status", "resting", "state", "leaving"),
+        ("status", [], "state", "leaving"),
+        ("weight", float("nan"), "weight", UNKNOWN_WEIGHT),
+        ("weight", -1, "weight", UNKNOWN_WEIGHT),
+        ("weight", True, "weight", UNKNOWN_WEIGHT),
+        ("since_ms", float("inf"), "started_at", UNKNOWN_START),
+        ("since_ms", -5, "started_at", UNKNOWN_START),
+        ("since_ms", None, "started_at", UNKNOWN_START),
+        ("group", "x", "cell", UNKNOWN_PLACE),
+        ("group", None, "cell", UNKNOWN_PLACE),
+        ("group", 1.5, "cell", UNKNOWN_PLACE),
+        ("zone", "nowhere", "zone", UNKNOWN_PLACE),
+        ("type", 7, "kind", UNKNOWN_PLACE),
+        ("address", "127.0.0.1:99999", None, None),
+        ("address", "127.0.0.1:0", None, None),
+        ("name", 7, None, None),
+        (None, None, None, None),
     ],
 )
-def test_an_invalid_entry_is_read_as_the_most_restrictive_and_hides_no_other(
-    entry: str, expected: tuple[object, ...] | None
+def test_an_invalid_field_is_read_as_unknown_and_named_and_hides_no_other(
+    field: str | None, value: Any, read: str | None, unknown: Any
 ) -> None:
-    valid = '{"name":"t","status":"draining","address":"127.0.0.1:7"}'
-    server_list = parse_server_list_body(
-        f'{{"index":1,"snapshot":true,"endpoints":[{entry},{valid}]}}'.encode(), DeploymentNames((), ())
-    )
-    assert server_list.invalid_entries == 1 and server_list.addresses == (("t", "127.0.0.1", 7),)
+    entry: Any = None if field is None else READABLE | {field: value}
+    valid = {"name": "t", "status": "draining", "address": "127.0.0.1:7"}
+    body = json.dumps({"index": 1, "snapshot": True, "endpoints": [entry, valid]}).encode()
+    server_list = parse_server_list_body(body, DeploymentNames(("a",), ("m",)))
+    assert server_list.addresses == (("t", "127.0.0.1", 7),)
     assert server_list.servers[-1].state == "leaving" and server_list.servers[-1].server == "t"
-    assert server_list.servers[:-1] == (() if expected is None else (expected,))
+    (invalid,) = server_list.invalid_fields
+    if field in (None, "name"):
+        assert len(server_list.servers) == 1 and invalid == InvalidField.create("", "name", entry)
+        return
+    assert invalid == InvalidField.create("s", str(field), value)
+    readable = ServerEntry("s", "active", 0, 2, 0, 2.5, 0.5)
+    assert server_list.servers[0] == (readable if read is None else readable._replace(**{read: unknown}))
+
+
+def test_a_missing_field_is_unknown() -> None:
+    body = b'{"index":1,"snapshot":true,"endpoints":[{"name":"s","status":"up"}]}'
+    server_list = parse_server_list_body(body, DeploymentNames(("a",), ("m",)))
+    unknown = ServerEntry(
+        "s", "active", UNKNOWN_PLACE, UNKNOWN_PLACE, UNKNOWN_PLACE, UNKNOWN_START, UNKNOWN_WEIGHT
+    )
+    assert server_list.servers == (unknown,) and not server_list.invalid_fields
 
 
 @pytest.mark.parametrize(
