An internal error of a balancer fails the testbed's checker, the soak and the socket tests

Cause: clients were judged alone. The soak read its balancers' logs, the testbed's checker and the tests on sockets did not; exceptions that left a callback, a protocol or a task of the event loop were counted nowhere.

Change: the testbed records the first internal error of each balancer's log, a violation of its own for the checker and so for the fleet tests. `run_scenario` and the tests with a process fail on any that is not forced (forces_errors). The event loop's handler counts what leaves a callback. `last_error` in event=state and event=ended names the last one.

Result: the tests of test_own_faults and test_hand_over that force errors failed until they said so; two new tests there, one of the checker. Six scenarios failed for requests that the test's own end leaves open: those no longer count.

--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -39,7 +39,7 @@
 from pointgw.net.run.connection_state import ConnectionState
 from pointgw.net.run.discovery import DiscoveryClient
 from pointgw.net.run.invalid_fields import InvalidFieldLog
-from pointgw.net.run.periodic import PeriodicTimer, count_exception
+from pointgw.net.run.periodic import PeriodicTimer, count_exception, count_loop_exception
 from pointgw.net.run.probe_pool import ProbePool
 from pointgw.net.run.request_log import RequestLog
 from pointgw.net.run.server import ServerConnection
@@ -193,6 +193,7 @@
 
     async def serve(self) -> None:
         """Serves until a stop has finished. Raises OSError where the address can't be bound."""
+        self.loop.set_exception_handler(count_loop_exception)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signal_number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -221,9 +222,10 @@
             client.lifecycle.state is ConnectionState.REQUESTED for client in self.clients.values()
         )
         if unanswered:
-            violations["closed_without_answer"] += unanswered
+            for _ in range(unanswered):
+                violations.record("closed_without_answer")
             _log.error("closed without answer", extra={"fields": {"requests": unanswered}})
-        _log.info("ended", extra={"fields": dict(self.request_log.counts) | dict(violations)})
+        _log.info("ended", extra={"fields": dict(self.request_log.counts) | violations.figures()})
         if self.cluster is not None:
             self.cluster.stop()
         if self.recovery is not None:
@@ -264,7 +266,7 @@
         """Ends a stop that has exceeded its time limit; clients that still wait are answered first."""
         if self.ended.done():
             return
-        violations["stop_not_ended"] += 1
+        violations.record("stop_not_ended")
         for client in list(self.clients.values()):
             client.fail()
         self.loop.call_later(EXIT_CHECK_INTERVAL, self._set_ended)
@@ -459,7 +461,7 @@
 
     def _answer_overdue(self, client: ClientConnection, now: float) -> None:
         """Guards rule 1 where the reducer has not answered a client by its deadline."""
-        violations["answer_overdue"] += 1
+        violations.record("answer_overdue", client.request_id)
         fields = {
             "what": "answer_overdue",
             "request": client.request_id,
@@ -472,7 +474,7 @@
 
     def _log_state(self) -> None:
         """Logs the state line: the reducer's figures, and counts of refusals, requests and violations."""
-        counts = dict(self.refusals) | dict(self.request_log.counts) | dict(violations)
+        counts = dict(self.refusals) | dict(self.request_log.counts) | violations.figures()
         _log.info("state", extra={"fields": self.reducer.figures() | counts})
 
     def _state_log_interval(self) -> float:
--- a/pointgw/net/run/periodic.py
+++ b/pointgw/net/run/periodic.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import logging
+import sys
 from collections.abc import Callable
+from typing import Any
 
-from pointgw.net.invariant import violations
-
-MAX_TRACEBACKS = 10  # exceptions of one kind that are logged with a traceback
+from pointgw.net.invariant import MAX_LOGGED, violations
 
 _log = logging.getLogger("pointgw.periodic")
 
@@ -47,8 +47,16 @@
             self.timer.cancel()
 
 
-def count_exception(counter: str, subject: str) -> None:
-    """Counts the exception being handled as an invariant violation, and logs the first few of a kind."""
-    violations[counter] += 1
-    if violations[counter] <= MAX_TRACEBACKS:
-        _log.exception("fault", extra={"fields": {"what": counter, "about": subject}})
+def count_exception(counter: str, subject: str, error: BaseException | None = None) -> None:
+    """Counts an exception as an invariant violation, and logs the first few of a kind.
+
+    `error`: None for the one that is being handled.
+    """
+    error = error or sys.exception()
+    if violations.record(counter, f"{subject} {type(error).__name__} {error}") <= MAX_LOGGED:
+        _log.error("fault", exc_info=error, extra={"fields": {"what": counter, "about": subject}})
+
+
+def count_loop_exception(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Handler of the event loop for exceptions that left a callback, a protocol or a task."""
+    count_exception("callback_failed", str(context.get("message", "")), context.get("exception"))
--- a/pointgw/testbed/invariant_checker.py
+++ b/pointgw/testbed/invariant_checker.py
@@ -194,6 +194,8 @@
         for record in self.records:
             if isinstance(record, rec.Balancer) and record.what == "died":
                 self._add_violation(0, record.t, "", f"balancer n{record.number} ended unexpectedly")
+            elif isinstance(record, rec.InternalError):
+                self._add_violation(0, record.t, "", f"balancer n{record.number} logged: {record.line}")
         self.result.violations.sort(key=lambda violation: (violation.rule, violation.at))
         return self.result
 
--- a/pointgw/testbed/records.py
+++ b/pointgw/testbed/records.py
@@ -138,6 +138,13 @@
     ]
 
 
+class InternalError(Record, frozen=True):
+    """A balancer logged an invariant violation or an internal error; found at the end of the run."""
+
+    number: int
+    line: str  # the first such line of its log
+
+
 class Mark(Record, frozen=True):
     """A trouble of the scenario begins or ends."""
 
@@ -171,7 +178,7 @@
 
 AnyRecord = (
     Asked | Answered | Further | Ended | Second | Took | Said | Gone | State | Started | Fell | Changed
-    | Wrote | Balancer | Mark | Talk | Strain | Machine
+    | Wrote | Balancer | InternalError | Mark | Talk | Strain | Machine
 )  # fmt: skip
 _encoder = msgspec.json.Encoder()
 _decoder: msgspec.json.Decoder[AnyRecord] = msgspec.json.Decoder(AnyRecord)
--- a/pointgw/testbed/run.py
+++ b/pointgw/testbed/run.py
@@ -9,6 +9,7 @@
 import contextlib
 import json
 import os
+import re
 import shutil
 import signal
 import sys
@@ -24,7 +25,7 @@
 from pointgw.testbed.address_plan import Address, AddressPlan, format_address
 from pointgw.testbed.baseline import POLICIES
 from pointgw.testbed.meta import Meta
-from pointgw.testbed.records import Balancer, Machine, Mark, Writer
+from pointgw.testbed.records import Balancer, InternalError, Machine, Mark, Writer
 from pointgw.testbed.registry import Line
 from pointgw.testbed.scenario import Fleet, Scenario
 from pointgw.testbed.timeline import TimelineEvent, timeline_events
@@ -32,6 +33,9 @@
 READY_TIMEOUT_SECONDS = 20.0  # for a process to be ready
 LAST_ANSWER_SECONDS = 2.5  # from the end, for the last answers
 # Files that a run writes, as patterns.
+# A balancer's log line of an invariant violation or an internal error.
+INTERNAL_ERROR_LINE = re.compile(rb'event=(broken|fault|"closed without answer")| last_error=')
+MAX_LINE_SHOWN = 400  # characters of such a line that are kept
 RUN_FILES = ("*.jsonl", "*.log", "n*.json", "n*.toml", "n*.boot", "n*.status", "meta.json", "state-n*")
 MACHINE_SAMPLE_SECONDS = 1.0  # between two samples of the processor times
 BEGIN_DELAY_SECONDS = 0.3  # from all processes ready to the scenario's start
@@ -129,6 +133,7 @@
             meta = run_task.result()
         finally:
             await self._stop_all()
+            self._record_internal_errors()
             self.writer.close()
         (self.folder / "meta.json").write_bytes(msgspec.json.encode(meta))
         return meta
@@ -433,6 +438,15 @@
         self._send_signal(name, signal.SIGKILL)
         await component.process.wait()
 
+    def _record_internal_errors(self) -> None:
+        """Records the first internal error in the log of each balancer."""
+        for log in sorted(self.folder.glob("n*.log")):
+            with log.open("rb") as lines:
+                found = next((line for line in lines if INTERNAL_ERROR_LINE.search(line)), None)
+            if found is not None:
+                text = found.decode("utf-8", "replace").strip()[:MAX_LINE_SHOWN]
+                self.writer.write(InternalError(time.monotonic(), int(log.stem[1:]), text))
+
     def _record_balancer(self, number: int, what: BalancerEvent) -> None:
         self.writer.write(Balancer(time.monotonic(), number, what))
 
--- a/tests/crossing/daemon.py
+++ b/tests/crossing/daemon.py
@@ -16,6 +16,7 @@
 import uvloop
 
 from crossing.world import Connection, ListRequest, World, open_line
+from pointgw.testbed.run import INTERNAL_ERROR_LINE
 from soak.syscall_faults import SyscallFaults
 
 PORT = 8443
@@ -129,6 +130,10 @@
             daemon.close()
             serving.cancel()
             world.stop()
+        internal_errors = [
+            line for line in daemon.read_log().splitlines() if INTERNAL_ERROR_LINE.search(line)
+        ]
+        assert not internal_errors, internal_errors[0]
 
     uvloop.run(main())
 
--- a/tests/crossing/test_hand_over.py
+++ b/tests/crossing/test_hand_over.py
@@ -141,9 +141,7 @@
         opened, _ = await world.open_tunnel("two")  # the next request is served
         opened.close()
 
-    violations.clear()
-    run_scenario(scenario, World(limits={"mayCancel": False}))
-    violations.clear()
+    run_scenario(scenario, World(limits={"mayCancel": False}), forces_errors=True)
 
 
 def test_an_exception_at_the_end_of_an_open_tunnel_resets_its_client() -> None:
@@ -163,9 +161,7 @@
             await client.read_to_end()
         await wait_until(lambda: not process.clients and not process.reducer.clients)
 
-    violations.clear()
-    run_scenario(scenario, World())
-    violations.clear()
+    run_scenario(scenario, World(), forces_errors=True)
 
 
 def test_lines_from_a_client_after_its_server_ended_are_read_and_dropped() -> None:
--- a/tests/crossing/test_own_faults.py
+++ b/tests/crossing/test_own_faults.py
@@ -65,7 +65,7 @@
         await wait_until(lambda: process.reducer.balancer.last_pass_at > previous)
         assert violations["event_failed"] == 3
 
-    run_scenario(scenario, World())
+    run_scenario(scenario, World(), forces_errors=True)
 
 
 def test_a_stop_with_a_failing_step_still_ends(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -77,7 +77,7 @@
         assert await client.read_line() == b"MOVE\r\n"
         await asyncio.wait_for(asyncio.shield(process.ended), 4.0)
 
-    run_scenario(scenario, World())
+    run_scenario(scenario, World(), forces_errors=True)
 
 
 def test_a_stop_whose_every_step_fails_is_forced_to_end_in_time(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -89,7 +89,7 @@
         assert time.monotonic() - started_at < process.reducer.stop_time_limit + 0.2
         assert violations["stop_not_ended"] == 1
 
-    run_scenario(scenario, World())
+    run_scenario(scenario, World(), forces_errors=True)
 
 
 def test_a_setup_that_cannot_be_started_is_followed_by_another(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -99,7 +99,7 @@
         await world.open_tunnel()
         assert violations["effect_failed"] == 1
 
-    run_scenario(scenario, World())
+    run_scenario(scenario, World(), forces_errors=True)
 
 
 def test_a_request_that_the_policy_drops_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -112,4 +112,22 @@
         assert time.monotonic() - started_at < 0.3 + 0.5
         assert violations["answer_overdue"] == 1
 
-    run_scenario(scenario, World())
+    run_scenario(scenario, World(), forces_errors=True)
+
+
+def test_an_exception_in_a_callback_of_the_loop_is_counted_and_named_last() -> None:
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        asyncio.get_running_loop().call_soon(lambda: 1 // 0)
+        await wait_until(lambda: violations["callback_failed"])
+        assert "ZeroDivisionError" in str(violations.figures()["last_error"])
+
+    run_scenario(scenario, World(), forces_errors=True)
+
+
+def test_a_scenario_fails_on_an_internal_error_that_it_does_not_force() -> None:
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        asyncio.get_running_loop().call_soon(lambda: 1 // 0)
+        await wait_until(lambda: violations)
+
+    with pytest.raises(AssertionError):
+        run_scenario(scenario, World())
--- a/tests/crossing/world.py
+++ b/tests/crossing/world.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from pointgw.net.invariant import violations
 from pointgw.net.run.balancer_process import BalancerProcess
 from pointgw.net.wire.start_up import parse_start_up_file
 
@@ -270,13 +271,17 @@
 
 def run_scenario(
     scenario: Callable[[BalancerProcess, World, ControlledLoop], Awaitable[None]], world: World,
-    answer_first_request: bool = True, timeout: float = 20.0, **process_options: Any,
+    answer_first_request: bool = True, timeout: float = 20.0, forces_errors: bool = False,
+    **process_options: Any,
 ) -> None:  # fmt: skip
     """Runs `scenario` with a balancer, for at most `timeout` seconds.
 
     `answer_first_request`: answers discovery's first request, which confirms the start-up file's list, and
-    leaves the watch after it open as `world.watch`. `process_options`: further arguments of BalancerProcess.
+    leaves the watch after it open as `world.watch`. `forces_errors`: the scenario injects internal errors;
+    otherwise any of the balancer fails the test. `process_options`: further arguments of BalancerProcess.
     """
+    violations.clear()
+    errors: dict[str, object] = {}
 
     async def main() -> None:
         await world.start()
@@ -294,11 +299,16 @@
                     await wait_until(lambda: process.connections.listener is not None)
                 await scenario(process, world, loop)
         finally:
-            if not process.ended.done():
+            ended_by_itself = process.ended.done()
+            errors.update(violations.figures())
+            if not ended_by_itself:
                 process.ended.set_result(None)
             if not process.discovery_answered.done():
                 process.discovery_answered.set_result(None)
             await serving
+            if ended_by_itself:
+                errors.update(violations.figures())
             world.stop()
 
     uvloop.run(main())
+    assert forces_errors or not errors
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -36,7 +36,7 @@
 MAX_LOOP_LAG = 0.25  # seconds; a run with more event loop lag is not valid
 VALID_LINE_END = b",g=g1\r\n"  # end of a valid request; bad clients that send one leave at once
 VIOLATION_LOG_LINE = re.compile(
-    rb'event=(broken|fault|"closed without answer")|(guard_\w+|\w+_failed|answer_overdue)=[1-9]'
+    rb'event=(broken|fault|"closed without answer")|(guard_\w+|\w+_failed|answer_overdue|last_error)="?[^ "]'
 )
 
 
--- a/tests/test_invariant_checker.py
+++ b/tests/test_invariant_checker.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from pathlib import Path
 
 import pytest
 
 from pointgw.testbed import records as rec
 from pointgw.testbed.invariant_checker import check_records
 from pointgw.testbed.meta import Meta
+from pointgw.testbed.run import ScenarioRun
 from pointgw.testbed.scenario import Fleet, Profile, Scenario
 
 PROFILES = (
@@ -162,6 +164,20 @@
     assert violated_rules([rec.Balancer(10.0, 2, "died")]) == [0]
 
 
+def test_an_internal_error_of_a_balancer_is_a_violation(tmp_path: Path) -> None:
+    # Guards against an exception in each control pass that no run noticed, as clients were served all the same.
+    assert violated_rules([rec.InternalError(10.0, 2, "event=fault what=event_failed")]) == [0]
+    run = ScenarioRun(Scenario("t", "t"), tmp_path)
+    run.writer = rec.Writer(str(tmp_path / "rig.jsonl"))
+    (tmp_path / "n0.log").write_text("at=1 level=info event=state open=0 cold=1\n")
+    (tmp_path / "n1.log").write_text(
+        "at=1 event=state open=0\nat=2 event=state event_failed=5 last_error=x\n"
+    )
+    run._record_internal_errors()
+    run.writer.close()
+    assert [record.number for record in rec.read(tmp_path) if isinstance(record, rec.InternalError)] == [1]
+
+
 def test_a_violation_names_tunnel_and_times_and_shows_records() -> None:
     result = check_records([asked(), answered(11.9, "none", "")], meta())
     (violation,) = result.violations
