pointgw stand-in ends on SIGINT also where it was started with SIGINT ignored

Cause: it relied on Python's KeyboardInterrupt, which is not raised then. fault-box has a handler of its own.

Change: the loop's handlers of SIGINT and SIGTERM end it. The test starts it with SIGINT ignored, always.

--- a/pointgw/command/rig.py
+++ b/pointgw/command/rig.py
@@ -165,8 +165,15 @@
 
 
 def stand_in_until_interrupted(stand_in: StandIn) -> int:
-    """Runs stand-in servers and discovery until SIGINT."""
+    """Runs stand-in servers and discovery until SIGINT or SIGTERM, also where SIGINT was ignored before."""
     log.configure("WARNING")
-    with suppress(KeyboardInterrupt):
-        uvloop.run(stand_in.run())
+
+    async def serve() -> None:
+        running = asyncio.ensure_future(stand_in.run())
+        for signal_number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(signal_number, running.cancel)
+        with suppress(asyncio.CancelledError):
+            await running
+
+    uvloop.run(serve())
     return 0
--- a/tests/test_testbed.py
+++ b/tests/test_testbed.py
@@ -270,7 +270,12 @@
     config, address = tmp_path / "config.json", f"127.{200 + os.getpid() % 50}.0.1:18443"
     command = [sys.executable, "-m", "pointgw"]
     options = ["--config", str(config), "--balancer", address]
-    stand_in = subprocess.Popen([*command, "stand-in", *options], stdout=subprocess.PIPE)
+    # As a shell without job control starts what runs in its background.
+    stand_in = subprocess.Popen(
+        [*command, "stand-in", *options],
+        stdout=subprocess.PIPE,
+        preexec_fn=lambda: signal.signal(signal.SIGINT, signal.SIG_IGN),
+    )
     assert stand_in.stdout is not None
     assert stand_in.stdout.readline().startswith(b"4 servers from 127.0.0.1:")
     balancer = subprocess.Popen(command, env=os.environ | {"GW_CONFIG": str(config)}, stderr=subprocess.PIPE)
