--- a/tests/test_exit.py
+++ b/tests/test_exit.py
@@ -22,8 +22,8 @@
 @pytest.mark.parametrize(
     ("arguments", "output"),
     [
-        ([], "flushed "),
-        (["serve", "--config", "CONFIG"], "flushed "),
+        ([], "flushed"),
+        (["serve", "--config", "CONFIG"], "flushed"),
         (["check", "CONFIG"], "flushed teardown"),
     ],
 )
