--- a/tests/test_invariant_checker.py
+++ b/tests/test_invariant_checker.py
@@ -165,7 +165,7 @@
 
 
 def test_an_internal_error_of_a_balancer_is_a_violation(tmp_path: Path) -> None:
-    # Guards against an exception in each control pass that no run notices, as clients are served all the same.
+    # Guards against an exception in each control pass that no run notices, as clients are still served.
     assert violated_rules([rec.InternalError(10.0, 2, "event=fault what=event_failed")]) == [0]
     run = ScenarioRun(Scenario("t", "t"), tmp_path)
     run.writer = rec.Writer(str(tmp_path / "rig.jsonl"))
