--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
-from enum import Enum
 from math import inf
 from random import Random
 from typing import TYPE_CHECKING
@@ -34,6 +33,7 @@
 )
 from pointgw.net.core.guard import DeliveryGuard
 from pointgw.net.core.inherited_tunnels import INHERITED_RETRY_SECONDS, InheritedTunnels, Rejection
+from pointgw.net.core.list_requests import ListRequests, ListStatus
 from pointgw.net.core.start_times import StartTimes
 from pointgw.net.invariant import check_invariant
 from pointgw.net.wire.lines import Decline, Failure, OpenRequest
@@ -44,26 +44,6 @@
 if TYPE_CHECKING:
     from pointgw.state.restore import MembershipView, RestoredState
 
-# Where the list is pushed, the pause after a failed request, as a share of the drain grace.
-PUSHED_RETRY_SHARE = 0.25
-# Rule 3: the list of a reachable discovery counts as known after this time, whatever failed before.
-LIST_DEADLINE_SECONDS = 6.0
-# The same, in seconds after the wait of a watch (a request that discovery holds until the list changes).
-WATCH_DEADLINE_SECONDS = 2.0
-WATCH_RESPONSE_SECONDS = WATCH_DEADLINE_SECONDS / 2  # a reachable discovery answers within this
-# Timeout of a request that does not wait. Discovery serves requests in turn and itself reports one that has
-# waited too long: giving up earlier would only put the next request at the end of its queue.
-LIST_RESPONSE_SECONDS = LIST_DEADLINE_SECONDS - WATCH_DEADLINE_SECONDS
-# Longest time from sending a request that fails to sending the next: discovery may become reachable right
-# after the first, and the answer to the next has to come before the deadline. Requests that fail at once
-# thus leave long pauses, which spare an overloaded discovery.
-NEXT_REQUEST_SECONDS = LIST_DEADLINE_SECONDS - WATCH_RESPONSE_SECONDS
-# Pause after the first failure; doubled after each further one, and randomly cut by up to half.
-FIRST_RETRY_PAUSE_SECONDS = NEXT_REQUEST_SECONDS / 8
-# Wait of a watch, as a share of the list poll interval (after which a balancer that does not ask counts as
-# informed).
-WATCH_WAIT_SHARE = 0.5
-MIN_PUSHED_RETRY_SECONDS = 0.01  # shortest pause after a failed request, where the list is pushed
 DEFAULT_MAX_WAITING = 512  # requests that may wait for a list, where no limit of descriptors is known
 STOP_ACCEPT_SECONDS = 0.5  # new connections still arrive for this long after the stop signal
 STOP_ROUND_SECONDS = 0.1  # between two rounds of migrations while stopping
@@ -74,17 +54,6 @@
 CLIENT_TIMEOUT_CAP_SECONDS = 3.0
 
 
-class ListStatus(Enum):
-    """How far the server list can be believed; the values appear in the log.
-
-    Unless it is current a newer list may be on its way: that a server is missing from it says nothing.
-    """
-
-    UNCONFIRMED = "unconfirmed"  # from the start-up file or a snapshot; discovery has not answered yet
-    CURRENT = "current"  # discovery has answered, and its watch has not broken since
-    OUTDATED = "outdated"  # the watch broke, a call failed, or discovery was switched
-
-
 @dataclass(slots=True, eq=False)
 class Client:
     """A client connection that has requested a tunnel."""
@@ -118,11 +87,8 @@
         self.client_of: dict[Tunnel, Client] = {}
         self.addresses: dict[str, effects.Address] = {}  # by server name
         self.inherited = InheritedTunnels(self.addresses, DEFAULT_MAX_WAITING)
-        self.list_version: int | None = start.known_list.version
         self.discovery = start.discovery
         self.tunnel_names: set[str] = set()  # of the tunnels in `clients`
-        self.list_requested = False
-        self.list_status = ListStatus.UNCONFIRMED
         self.timer_due_at = inf
         self.now = now
         self.stop_requested_at = inf  # time of the stop signal
@@ -131,14 +97,6 @@
         self.profiles = {name: i for i, name in enumerate(start.profiles)}
         self.tenants = {name: i for i, name in enumerate(start.tenants)}
         self.connect_timeout = start.connect_timeout
-        self.watch_wait = WATCH_WAIT_SHARE * start.site.list_poll_interval
-        self.retry_pause = FIRST_RETRY_PAUSE_SECONDS  # after the next request that fails
-        self.request_is_watch, self.request_sent_at = False, now  # of the last list request
-        # Rule 3: a pushed list counts as known at once, so it is requested without a pause.
-        self.list_is_pushed = not start.site.list_is_polled
-        self.pushed_retry_pause = max(
-            PUSHED_RETRY_SHARE * start.drain_grace, start.site.timer_resolution, MIN_PUSHED_RETRY_SECONDS
-        )
         self.max_client_timeout = max(p.client_timeout for p in start.site.profiles)
         self.stop_time_limit = (
             min(self.max_client_timeout, CLIENT_TIMEOUT_CAP_SECONDS)
@@ -147,6 +105,7 @@
         )
         rng = Random(start.seed)
         self.uniform = rng.uniform
+        self.list_requests = ListRequests(start, rng.uniform, now)
         self.balancer = policy(replace(start.site, list_is_polled=True), self, rng, now)
         self.probe_timeout = self.balancer.attempt_timeout / 2
         self.start_times = StartTimes(start.site.warm_up_window)
@@ -155,7 +114,7 @@
             self._update_list(start.known_list, True, now)
         else:
             # Requests the complete list: the snapshot's discovery may have numbered its versions differently.
-            self.list_version = None
+            self.list_requests.version = None
             self._update_list(ServerList(0, True, restored.entries, restored.addresses), True, now)
 
     def dispatch(self, event: Event, now: float) -> list[effects.Effect]:
@@ -241,7 +200,7 @@
 
     def _advance_inherited(self, client: Client, delay: float = 0.0) -> None:
         """Connects a tunnel from before this process started to its server, or waits for a list with it."""
-        is_current = self.list_status is ListStatus.CURRENT
+        is_current = self.list_requests.status is ListStatus.CURRENT
         step = self.inherited.next_step(client.number, self.now, is_current, delay)
         if isinstance(step, Rejection):
             self._reject_inherited(client, step)
@@ -356,13 +315,8 @@
     # The server list, settings and timers.
 
     def _list_received(self, event: ListReceived) -> None:
-        self.list_requested, self.list_version, self.retry_pause = (
-            False,
-            event.server_list.version,
-            FIRST_RETRY_PAUSE_SECONDS,
-        )
-        self._request_list(self.watch_wait)  # first: the watch continues whatever the list holds
-        self.list_status = ListStatus.CURRENT
+        # First: the watch continues whatever the list holds.
+        self._add_effect(self.list_requests.received(event.server_list.version, self.now))
         self._update_list(
             event.server_list, False, self.now if event.wall_clock is None else event.wall_clock
         )
@@ -377,34 +331,19 @@
             self._advance_inherited(self.clients[number])
 
     def _list_request_failed(self, event: ListRequestFailed) -> None:
-        """Requests the list again before it counts as known (rule 3), at a random time to spread the load."""
-        self.list_requested = False
-        self._mark_list_outdated()
-        if self.list_is_pushed:
-            self._request_list(0.0, self.pushed_retry_pause)
-        elif event.silent:  # the changes it missed soon count as known
-            self._request_list(0.0)
-        else:
+        if not self.list_requests.is_pushed and not event.silent:
             self.balancer.list_request_failed(self.now)
-            # A watch has delivered every change until it broke.
-            began = self.now if self.request_is_watch else self.request_sent_at
-            remaining = max(0.0, began + NEXT_REQUEST_SECONDS - self.now)
-            self._request_list(0.0, min(self.retry_pause, remaining) * self.uniform(0.5, 1.0))
-            self.retry_pause = min(2 * self.retry_pause, NEXT_REQUEST_SECONDS)
+        self._add_effect(self.list_requests.failed(event.silent, self.now))
 
     def _settings_reloaded(self, event: SettingsReloaded) -> None:
-        """Switches to another discovery, which may number its versions anew: requests the complete list."""
         if event.discovery != self.discovery:
-            self.discovery, self.list_version, self.list_requested = event.discovery, None, False
-            self._mark_list_outdated()
-            # That the former discovery was unreachable says nothing about this one.
-            self.retry_pause = FIRST_RETRY_PAUSE_SECONDS
+            self.discovery = event.discovery
             self.effects.append(effects.SwitchDiscovery(event.discovery, event.names))
-            self._request_list(0.0)
+            self._add_effect(self.list_requests.switched(self.now))
 
-    def _mark_list_outdated(self) -> None:
-        if self.list_status is ListStatus.CURRENT:
-            self.list_status = ListStatus.OUTDATED
+    def _add_effect(self, effect: effects.Effect | None) -> None:
+        if effect is not None:
+            self.effects.append(effect)
 
     def _update_list(self, received: ServerList, cached: bool, wall_clock: float) -> None:
         for name, host, port in received.addresses:
@@ -422,15 +361,6 @@
         if before is not self.balancer.active_servers:
             self.effects.extend(effects.ForgetServer(server.name) for server in before if not server.active)
 
-    def _request_list(self, wait: float, delay: float = 0.0) -> None:
-        if not self.list_requested:
-            self.list_requested, self.request_is_watch, self.request_sent_at = (
-                True,
-                wait > 0.0,
-                self.now + delay,
-            )
-            self.effects.append(effects.RequestList(self.list_version, wait, delay))
-
     def _timer_due(self) -> None:
         if self.now < self.timer_due_at:
             if self.timer_due_at < inf:
@@ -527,7 +457,7 @@
         self.effects.append(effects.Probe(server.name, address, self.probe_timeout, self.connect_timeout))
 
     def watch_list(self) -> None:
-        self._request_list(0.0)
+        self._add_effect(self.list_requests.request(self.now))
 
     def set_timer(self, delay: float) -> None:
         if self.now + delay < self.timer_due_at:
@@ -550,6 +480,6 @@
             "cold": sum(server.warm_at > self.now for server in active),
             "c": float(self.balancer.c),
             "watching": self.balancer.is_watching_list,
-            "list": self.list_status.value,
+            "list": self.list_requests.status.value,
             "awaiting_list": len(self.inherited.waiting),
         }
--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -200,7 +200,7 @@
         self._execute_all(self.reducer.pop_effects())
         if early_signals.pop_sighup():  # a SIGHUP may have come after the file was read
             self.reload()
-        if self.reducer.list_is_pushed:  # rule 3: the agent's list counts as known from the start
+        if self.reducer.list_requests.is_pushed:  # rule 3: the agent's list counts as known from the start
             await self.discovery_answered
         await self._listen()
         self.timeout_check.start()
--- a/pointgw/net/run/cluster.py
+++ b/pointgw/net/run/cluster.py
@@ -24,7 +24,8 @@
 from pointgw.cluster.transport import ClusterTransport
 from pointgw.cluster.wire import Keys
 from pointgw.interface import Profile
-from pointgw.net.core.reducer import ListStatus, Reducer
+from pointgw.net.core.list_requests import ListStatus
+from pointgw.net.core.reducer import Reducer
 from pointgw.net.wire.start_up import StartUpSettings
 from pointgw.policy import Balancer, Server, State, Tunnel
 
@@ -224,7 +225,7 @@
     Guards against the closing of zones because many balancers start with an empty or outdated list: servers
     that are not known yet are no lack of capacity.
     """
-    return reducer.list_status is not ListStatus.UNCONFIRMED or any(
+    return reducer.list_requests.status is not ListStatus.UNCONFIRMED or any(
         server.reported_at > -math.inf or server.tunnels for server in reducer.balancer.active_servers
     )
 
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -9,7 +9,7 @@
 
 from pointgw.net.core.effects import RequestList
 from pointgw.net.core.events import ListReceived, ListRequestFailed
-from pointgw.net.core.reducer import LIST_RESPONSE_SECONDS, WATCH_RESPONSE_SECONDS
+from pointgw.net.core.list_requests import LIST_RESPONSE_SECONDS, WATCH_RESPONSE_SECONDS
 from pointgw.net.run.link import Link
 from pointgw.net.wire import server_list
 from pointgw.site import MalformedInputError
--- a/pointgw/net/run/snapshots.py
+++ b/pointgw/net/run/snapshots.py
@@ -79,7 +79,8 @@
             clock_step = wall - now if abs(wall - now) > CLOCK_TOLERANCE_SECONDS else 0.0
             discovery = reducer.discovery  # read here, as a reload may have changed it
             return records.Snapshot(
-                self.fingerprint, wall, reducer.list_version, f"{discovery[0]}:{discovery[1]}", clean_stop,
+                self.fingerprint, wall, reducer.list_requests.version,
+                f"{discovery[0]}:{discovery[1]}", clean_stop,
                 to_wall_time(self.membership.snapshot_records(now), clock_step),
                 server_health(reducer.balancer, now, clock_step), learned_figures(reducer.balancer),
                 self.membership.lifetimes, self.boot_id,
--- a/tests/crossing/test_crowd.py
+++ b/tests/crossing/test_crowd.py
@@ -21,7 +21,7 @@
 import uvloop
 
 from crossing.world import Connection, World, open_line
-from pointgw.net.core.reducer import LIST_DEADLINE_SECONDS
+from pointgw.net.core.list_requests import LIST_DEADLINE_SECONDS
 
 DESCRIPTOR_LIMIT = 128  # of the process
 IDLE_CLIENTS = 6 * DESCRIPTOR_LIMIT
--- a/tests/crossing/test_list_entries.py
+++ b/tests/crossing/test_list_entries.py
@@ -40,7 +40,7 @@
                 world.list_entry(1, status=statuses[1]),
             ]
             world.watch.send_list(version, *entries)
-            await wait_until(lambda version=version: process.reducer.list_version == version)  # type: ignore[misc]
+            await wait_until(lambda version=version: process.reducer.list_requests.version == version)  # type: ignore[misc]
             world.watch = await world.discovery.next_request(world.watch.connection)
             assert not process.reducer.balancer.servers[f"s-{draining}"].active, fields
             assert process.reducer.balancer.servers[f"s-{1 - draining}"].active, fields
@@ -54,7 +54,7 @@
     async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
         without_address = world.list_entry(0, name="s-9") | {"address": ""}
         world.watch.send_list(2, without_address, world.list_entry(0, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         assert not process.reducer.balancer.servers["s-9"].active
         await world.open_tunnel()
 
--- a/tests/crossing/test_list_on_its_way.py
+++ b/tests/crossing/test_list_on_its_way.py
@@ -19,7 +19,7 @@
     run_scenario,
     wait_until,
 )
-from pointgw.net.core.reducer import ListStatus
+from pointgw.net.core.list_requests import ListStatus
 from pointgw.net.run.balancer_process import FIRST_LIST_SECONDS, BalancerProcess
 
 STANDING_AT_NEW = open_line(timeout_ms=40000, extra=",at=s-1")
@@ -67,7 +67,7 @@
     async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
         world.discovery.stop()
         await wait_until(lambda: process.connections.listener is not None, FIRST_LIST_SECONDS + 1.0)
-        assert process.reducer.list_status is ListStatus.UNCONFIRMED
+        assert process.reducer.list_requests.status is ListStatus.UNCONFIRMED
 
     run_scenario(scenario, World(mode="automatic"), answer_first_request=False)
 
--- a/tests/crossing/test_setup.py
+++ b/tests/crossing/test_setup.py
@@ -103,7 +103,7 @@
         client.send_eof()
         # The list that activates the servers comes in the same loop iteration as the client's end.
         watch.send_list(3, *(world.list_entry(i, status="up") for i in range(2)))
-        await wait_until(lambda: process.reducer.list_version == 3 and not process.clients)
+        await wait_until(lambda: process.reducer.list_requests.version == 3 and not process.clients)
         await run_loop_iterations()
         assert not world.server_received_data() and not process.reducer.clients
 
@@ -177,7 +177,7 @@
             i for i, stand_in in enumerate(world.servers) if stand_in.port == protocol.attempt.address[1]
         )
         world.watch.send_list(2, world.list_entry(draining, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         loop.before_connect.set()
         index, server = await world.next_setup()
         if index == draining:  # it connects, and is closed without any data
--- a/tests/crossing/test_size.py
+++ b/tests/crossing/test_size.py
@@ -45,7 +45,7 @@
         started_at = time.monotonic()
         answer = {"index": 2, "snapshot": True, "endpoints": world.list_entries(weight=0.5)}
         world.watch.respond(json.dumps(answer, indent=4).encode())
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         assert time.monotonic() - started_at < MAX_LIST_SECONDS
         assert resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - memory_before < MAX_GROWTH_KIB
         world.watch = await world.discovery.next_request(world.watch.connection)
--- a/tests/crossing/test_watch.py
+++ b/tests/crossing/test_watch.py
@@ -23,7 +23,7 @@
     wait_until,
 )
 from pointgw.net.core.events import SettingsReloaded
-from pointgw.net.core.reducer import LIST_DEADLINE_SECONDS, NEXT_REQUEST_SECONDS, WATCH_DEADLINE_SECONDS
+from pointgw.net.core.list_requests import LIST_DEADLINE_SECONDS, NEXT_REQUEST_SECONDS, WATCH_DEADLINE_SECONDS
 from pointgw.net.run.balancer_process import BalancerProcess
 from pointgw.net.run.link import Link
 from pointgw.net.wire.server_list import MAX_HEAD_BYTES
@@ -55,12 +55,12 @@
         # The first watch is answered; the next one gets no answer.
         world.watch.send_list(2)
         await world.discovery.next_request(world.watch.connection)
-        started_at, wait = time.monotonic(), process.reducer.watch_wait
+        started_at, wait = time.monotonic(), process.reducer.list_requests.watch_wait
         next_watch = await world.discovery.next_request(await world.discovery.next_connection())
         elapsed = time.monotonic() - started_at
         assert wait < elapsed < wait + 0.75 * WATCH_DEADLINE_SECONDS  # the rest is for the answer
         next_watch.send_list(3, world.list_entry(0, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 3)
+        await wait_until(lambda: process.reducer.list_requests.version == 3)
         assert time.monotonic() - started_at < wait + WATCH_DEADLINE_SECONDS
         await check_server_1_gets_tunnel(process, world)
 
@@ -103,7 +103,7 @@
         request = await world.discovery.next_request()
         assert time.monotonic() - started_at < 0.8
         request.send_list(3, world.list_entry(0, status="up"), world.list_entry(1, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 3)
+        await wait_until(lambda: process.reducer.list_requests.version == 3)
         client = await world.connect_client()
         client.send(open_line("last"))
         assert (await world.next_setup())[0] == 0
@@ -168,7 +168,7 @@
         if answer and not watch.connection.writer.is_closing():
             watch.connection.send(HEAD + b"{}")  # a second answer to the failed request is ignored
         await run_loop_iterations()
-        assert failed == 1 and process.reducer.list_version == 2
+        assert failed == 1 and process.reducer.list_requests.version == 2
         await check_server_1_gets_tunnel(process, world)
 
     run_scenario(scenario, World(rules=SHORT_WATCH))
@@ -180,7 +180,7 @@
         request = await world.discovery.next_request()
         await asyncio.sleep(2.0)  # discovery's own limit is 1 to 3 s; past it, it answers with an error
         request.send_list(2, world.list_entry(0, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         assert len(world.discovery.connections) == 1
         await check_server_1_gets_tunnel(process, world)
 
@@ -195,7 +195,7 @@
         for i in range(0, len(data), 37):
             world.watch.connection.send(data[i : i + 37])
             await run_loop_iterations(1)
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         await check_server_1_gets_tunnel(process, world)
 
     run_scenario(scenario, World())
@@ -213,7 +213,7 @@
         assert b"from=" not in request.head
         request.send_list(3, world.list_entry(0, status="draining"), world.list_entry(1), full=True)
         await new_discovery.next_request(request.connection)
-        await wait_until(lambda: process.reducer.list_version == 3)
+        await wait_until(lambda: process.reducer.list_requests.version == 3)
         await check_server_1_gets_tunnel(process, world)
         new_discovery.stop()
 
@@ -255,7 +255,7 @@
         loop.before_connect.set()
         request = await world.discovery.next_request()
         request.send_list(2, world.list_entry(0, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         assert first.transport is None or first.transport.is_closing()
         await check_server_1_gets_tunnel(process, world)
 
@@ -287,7 +287,7 @@
         connection_made(*delayed[0])
         assert await first.read_to_end() == b""  # no second copy of the request; its end has no effect
         request.send_list(2, world.list_entry(0, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         await check_server_1_gets_tunnel(process, world)
 
     monkeypatch.setattr(LINK_CLASS, "connection_made", delay_first)
@@ -324,7 +324,9 @@
             loop.before_connect = None
         else:
             request = await world.discovery.next_request()
-            process.reducer.retry_pause = NEXT_REQUEST_SECONDS  # as after many immediate failures
+            process.reducer.list_requests.retry_pause = (
+                NEXT_REQUEST_SECONDS  # as after many immediate failures
+            )
             if failure == "reset":
                 request.connection.reset()
             elif failure != "hangs":
@@ -332,7 +334,7 @@
         reachable_at = time.monotonic()
         request = await world.discovery.next_request()
         request.send_list(2, world.list_entry(0, status="draining"))
-        await wait_until(lambda: process.reducer.list_version == 2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2)
         assert time.monotonic() - reachable_at < LIST_DEADLINE_SECONDS
         await check_server_1_gets_tunnel(process, world)
 
@@ -346,10 +348,10 @@
         connection = world.watch.connection
         connection.send(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + body[:20])
         await run_loop_iterations()
-        assert process.reducer.list_version == 1  # the answer may continue
+        assert process.reducer.list_requests.version == 1  # the answer may continue
         connection.send(body[20:])
         connection.send_eof()
-        await wait_until(lambda: process.reducer.list_version == 2, 0.2)
+        await wait_until(lambda: process.reducer.list_requests.version == 2, 0.2)
         assert not process.reducer.balancer.servers["s-0"].active and not process.discovery.failing
         world.watch = await world.discovery.next_request()
         assert b"from=2" in world.watch.head
@@ -363,6 +365,6 @@
         connection.send(b'HTTP/1.1 200 OK\r\n\r\n{"index":2,"snapshot":false,"endpoi')
         connection.send_eof()
         await wait_until(lambda: process.discovery.failing)
-        assert process.reducer.list_version == 1
+        assert process.reducer.list_requests.version == 1
 
     run_scenario(scenario, World())
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -9,15 +9,13 @@
 from pointgw.net.core import effects
 from pointgw.net.core import events as ev
 from pointgw.net.core.inherited_tunnels import INHERITED_TIMEOUT_SECONDS
-from pointgw.net.core.reducer import (
+from pointgw.net.core.list_requests import (
     FIRST_RETRY_PAUSE_SECONDS,
     LIST_DEADLINE_SECONDS,
     LIST_RESPONSE_SECONDS,
-    STOP_ACCEPT_SECONDS,
-    STOP_SETTLE_SECONDS,
     WATCH_RESPONSE_SECONDS,
-    Reducer,
 )
+from pointgw.net.core.reducer import STOP_ACCEPT_SECONDS, STOP_SETTLE_SECONDS, Reducer
 from pointgw.net.wire.lines import Decline, EndLine, Failure, Load, OpenRequest
 from pointgw.net.wire.server_list import DeploymentNames, ServerList
 from pointgw.net.wire.start_up import StartUpSettings
@@ -189,7 +187,7 @@
     forgotten = [effects.ForgetServer(server.name) for server in reducer.balancer.active_servers]
     assert len(forgotten) == 2
     assert reducer.dispatch(ev.ListReceived(ServerList(2, True, (), ())), 101.1) == [
-        effects.RequestList(2, reducer.watch_wait),
+        effects.RequestList(2, reducer.list_requests.watch_wait),
         *forgotten,
     ]
 
@@ -199,7 +197,7 @@
     reducer.watch_list()  # the first request is still in progress
     assert reducer.pop_effects() == []
     requested = reducer.dispatch(ev.ListReceived(ServerList(9, False, (), ())), 100.5)
-    assert requested == [effects.RequestList(9, reducer.watch_wait)]
+    assert requested == [effects.RequestList(9, reducer.list_requests.watch_wait)]
     failed = reducer.dispatch(ev.ListRequestFailed(), 101.0)
     again = failed + [e for i in range(30) for e in reducer.dispatch(ev.TimerDue(), 101 + i * 0.2)]
     assert [(e.version, e.wait) for e in again if isinstance(e, effects.RequestList)] == [(9, 0.0)]
@@ -236,7 +234,7 @@
 def test_a_silent_watch_is_noticed_within_the_list_poll_interval() -> None:
     # Guards against a list that is stale for tens of seconds while discovery sends nothing.
     reducer = make_reducer()
-    assert 0 < reducer.watch_wait + WATCH_RESPONSE_SECONDS < reducer.balancer.list_poll_interval
+    assert 0 < reducer.list_requests.watch_wait + WATCH_RESPONSE_SECONDS < reducer.balancer.list_poll_interval
 
 
 def test_a_list_that_the_policy_fails_on_does_not_end_the_watch() -> None:
@@ -244,7 +242,7 @@
     bad = ServerList(9, False, (None,), ())  # type: ignore[arg-type]
     with pytest.raises(AttributeError):
         reducer.dispatch(ev.ListReceived(bad), 100.5)
-    assert reducer.pop_effects() == [effects.RequestList(9, reducer.watch_wait)]
+    assert reducer.pop_effects() == [effects.RequestList(9, reducer.list_requests.watch_wait)]
 
 
 def test_a_timer_that_fires_early_is_set_again() -> None:
@@ -356,7 +354,7 @@
     reducer = make_reducer()
     for now in (100.1, 101.0, 103.0, 107.0, 113.0):
         reducer.dispatch(ev.ListRequestFailed(), now)
-        reducer.list_requested = False
+        reducer.list_requests.in_progress = False
     reducer.dispatch(ev.SettingsReloaded(("127.0.0.1", 3), DeploymentNames(("a",), ("k",))), 120.0)
     now, requests = 120.0, 0
     while now < 124.0:
