Requests also wait for a list after a reload, a silent watch and a failed call for a pushed list

What callers saw: none reported. With no usable server, a request after a switch of discovery, a silent watch or a failed call to an agent was refused at half of its time, though the list that was asked for came within it.

Cause: the policy went by whether its watch is open, which those three didn't change, while the reducer had its own word for the list's state: two answers to one question.

Change: the policy has the state itself (`list_is_current`), set by each list and each of these events. When the watch is asked for again is as before.

--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -331,6 +331,7 @@
             self._advance_inherited(self.clients[number])
 
     def _list_request_failed(self, event: ListRequestFailed) -> None:
+        self.balancer.mark_list_outdated()
         if not self.list_requests.is_pushed and not event.silent:
             self.balancer.list_request_failed(self.now)
         self._add_effect(self.list_requests.failed(event.silent, self.now))
@@ -338,6 +339,7 @@
     def _settings_reloaded(self, event: SettingsReloaded) -> None:
         if event.discovery != self.discovery:
             self.discovery = event.discovery
+            self.balancer.mark_list_outdated()
             self.effects.append(effects.SwitchDiscovery(event.discovery, event.names))
             self._add_effect(self.list_requests.switched(self.now))
 
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -290,6 +290,7 @@
             now,
             site.list_poll_interval / 8,
         )
+        self.list_is_current = False  # discovery has answered, and no newer list is known to be on its way
         self.reports_load, self.busy_is_fraction = (
             "load" in site.report_fields,
             "connections" not in site.report_fields,
@@ -352,6 +353,7 @@
         """
         if not is_cached:
             self.is_watching_list, self.list_retry_delay = True, self.list_poll_interval / 8
+            self.list_is_current = True
         changed = False  # the set of active servers; other updates, such as weights, come every second
         for server in self.servers.values() if is_complete else ():
             server.listed = False
@@ -481,9 +483,14 @@
     def list_request_failed(self, now: float) -> None:
         """Schedules another list request, with growing and randomised delay, after a failed or broken one."""
         self.is_watching_list = False
+        self.mark_list_outdated()
         self.list_request_due = now + self.list_retry_delay * self.uniform(0.5, 1.5)
         self.list_retry_delay = min(2 * self.list_retry_delay, self.list_poll_interval)
 
+    def mark_list_outdated(self) -> None:
+        """Records that a newer list may be on its way: a request failed, or another discovery is asked."""
+        self.list_is_current = False
+
     def _request_list(self, now: float) -> None:
         """Requests the list, and again later unless an answer comes."""
         self.host.watch_list()
@@ -1073,7 +1080,7 @@
 
     def _awaits_list(self) -> bool:
         """Whether the list may be old and a newer one was requested."""
-        return self.list_is_polled and not self.is_watching_list
+        return self.list_is_polled and not self.list_is_current
 
     def _awaits_servers(self, now: float) -> bool:
         """Whether the list may be old, a newer one was requested, and no server of the old one is confirmed.
--- a/tests/test_old_list.py
+++ b/tests/test_old_list.py
@@ -16,7 +16,7 @@
 from pointgw.net.core.reducer import Reducer
 from pointgw.net.run.cluster import ClusterRunner
 from pointgw.net.wire.lines import EndLine
-from pointgw.net.wire.server_list import ServerList
+from pointgw.net.wire.server_list import DeploymentNames, ServerList
 from pointgw.policy import Balancer
 from test_reducer import arrive, make_reducer
 
@@ -62,6 +62,25 @@
     assert reducer.clients[1].tunnel.setups[-1].server.name == "s9"
 
 
+@pytest.mark.parametrize(
+    ("event", "polled"),
+    [
+        (ev.ListRequestFailed(), True),
+        (ev.ListRequestFailed(), False),
+        (ev.ListRequestFailed(silent=True), True),
+        (ev.SettingsReloaded(("127.0.0.1", 3), DeploymentNames(("a",), ("k",))), True),
+    ],
+)
+def test_a_request_waits_for_a_list_after_a_failed_call_and_a_reload(event: ev.Event, polled: bool) -> None:
+    reducer = make_reducer(server_count=0, list_is_polled=polled)
+    reducer.dispatch(ev.ListReceived(ServerList(8, True, (), ())), 100.0)
+    reducer.dispatch(event, 100.0)
+    arrive(reducer)
+    assert run_timers(reducer, 100.0, 102.0) == []
+    reducer.dispatch(ev.ListReceived(NEW_SERVER), 102.0)
+    assert run_timers(reducer, 102.0, 102.3) == [] and reducer.clients[1].tunnel.setups
+
+
 def test_a_request_that_waits_for_a_list_is_refused_with_time_left() -> None:
     reducer = make_reducer(server_count=0)
     arrive(reducer)
