--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -154,9 +154,7 @@
     def __init__(self, server: Server, now: float) -> None:
         self.server, self.sent_at, self.in_progress, self.may_have_run = server, now, True, True
         self.server_started_at = server.started_at  # identifies the process that was selected
-        self.location = (
-            server.location
-        )  # as listed then: what recognises a repeat may be listed elsewhere later
+        self.location = server.location  # as listed now: the entry may have changed when it is repeated
         self.was_opened = self.ended_in_error = False
 
 
