Testbed: answers overdue by a balancer's own pause are no internal error of it

The case stops n0 by SIGSTOP for 6.003 s.

Change: the run measures each balancer's pauses, and its log's answer_overdue lines are explained while they are late by less than the longest one. Any other error, and any such line of a balancer that was not paused, counts as before.

--- a/pointgw/testbed/run.py
+++ b/pointgw/testbed/run.py
@@ -32,10 +32,13 @@
 
 READY_TIMEOUT_SECONDS = 20.0  # for a process to be ready
 LAST_ANSWER_SECONDS = 2.5  # from the end, for the last answers
-# Files that a run writes, as patterns.
 # A balancer's log line of an invariant violation or an internal error.
 INTERNAL_ERROR_LINE = re.compile(rb'event=(broken|fault|"closed without answer")| last_error=')
+# What a balancer logs of requests whose deadline passed while it was paused, and the state lines after that.
+OVERDUE_LINE = re.compile(rb"event=broken what=answer_overdue .* late=([\d.]+)")
+LAST_OVERDUE = re.compile(rb' last_error="?answer_overdue\b')
 MAX_LINE_SHOWN = 400  # characters of such a line that are kept
+# Files that a run writes, as patterns.
 RUN_FILES = ("*.jsonl", "*.log", "n*.json", "n*.toml", "n*.boot", "n*.status", "meta.json", "state-n*")
 MACHINE_SAMPLE_SECONDS = 1.0  # between two samples of the processor times
 BEGIN_DELAY_SECONDS = 0.3  # from all processes ready to the scenario's start
@@ -86,6 +89,9 @@
         if policy not in POLICIES:
             raise ValueError(f"expected one of {', '.join(POLICIES)}, got {policy!r}")
         self.scenario, self.folder, self.policy, self.on_progress = scenario, folder, policy, on_progress
+        # By balancer: when it was last paused; the longest of its pauses that have ended, in seconds.
+        self.paused_at: dict[int, float] = {}
+        self.longest_pauses: dict[int, float] = {}
         self.on_balancer_down = on_balancer_down
         self.address_plan = AddressPlan(os.getpid() if run_number is None else run_number)
         self.fleet: Fleet = scenario.fleet
@@ -439,13 +445,15 @@
         await component.process.wait()
 
     def _record_internal_errors(self) -> None:
-        """Records the first internal error in the log of each balancer."""
+        """Records the first internal error in the log of each balancer that no pause of it explains."""
         for log in sorted(self.folder.glob("n*.log")):
+            number = int(log.stem[1:])
+            pause = self.longest_pauses.get(number, 0.0)
             with log.open("rb") as lines:
-                found = next((line for line in lines if INTERNAL_ERROR_LINE.search(line)), None)
+                found = next((line for line in lines if _is_internal_error(line, pause)), None)
             if found is not None:
                 text = found.decode("utf-8", "replace").strip()[:MAX_LINE_SHOWN]
-                self.writer.write(InternalError(time.monotonic(), int(log.stem[1:]), text))
+                self.writer.write(InternalError(time.monotonic(), number, text))
 
     def _record_balancer(self, number: int, what: BalancerEvent) -> None:
         self.writer.write(Balancer(time.monotonic(), number, what))
@@ -455,6 +463,8 @@
         if event.ends:
             if what == "balancer-pause":
                 self._send_signal(name, signal.SIGCONT)
+                pause = time.monotonic() - self.paused_at[number]
+                self.longest_pauses[number] = max(pause, self.longest_pauses.get(number, 0.0))
                 self._record_balancer(number, "resumed")
             elif what in ("balancer-kill", "balancer-stop"):
                 await self.components[name].process.wait()
@@ -484,6 +494,7 @@
                 self._send_signal(name, signal.SIGHUP)
             case "balancer-pause":
                 self._record_balancer(number, "paused")
+                self.paused_at[number] = time.monotonic()
                 self._send_signal(name, signal.SIGSTOP)
 
     async def _wait_until_serving(self, number: int) -> None:
@@ -575,3 +586,16 @@
     """The machine's processor times in clock ticks: user, nice, system, idle, ..."""
     with open("/proc/stat") as stat:
         return [int(figure) for figure in stat.readline().split()[1:9]]
+
+
+def _is_internal_error(line: bytes, pause: float) -> bool:
+    """Whether a log line tells of an internal error that a pause of the balancer (seconds) does not explain.
+
+    Only answers overdue by less than the pause are explained; any other error has a line of its own.
+    """
+    if not INTERNAL_ERROR_LINE.search(line):
+        return False
+    overdue = OVERDUE_LINE.search(line)
+    if overdue is not None:
+        return float(overdue[1]) >= pause
+    return not (pause and LAST_OVERDUE.search(line))
--- a/tests/test_invariant_checker.py
+++ b/tests/test_invariant_checker.py
@@ -10,7 +10,7 @@
 from pointgw.testbed import records as rec
 from pointgw.testbed.invariant_checker import check_records
 from pointgw.testbed.meta import Meta
-from pointgw.testbed.run import ScenarioRun
+from pointgw.testbed.run import ScenarioRun, _is_internal_error
 from pointgw.testbed.scenario import Fleet, Profile, Scenario
 
 PROFILES = (
@@ -209,3 +209,23 @@
     assert violated_rules(garbled) == [1] and violated_rules(garbled, meta(boxed_servers=(0,))) == []
     lost: list[rec.AnyRecord] = [asked(), answered(10.5, "lost", "")]
     assert violated_rules(lost, meta(boxed_clients=True)) == []
+
+
+@pytest.mark.parametrize(
+    ("line", "pause", "is_error"),
+    [
+        (b"event=broken what=answer_overdue request=1 late=4.509", 6.0, False),
+        (b"event=broken what=answer_overdue request=1 late=6.1", 6.0, True),
+        (b"event=broken what=answer_overdue request=1 late=0.3", 0.0, True),
+        (b'event=state open=1 answer_overdue=20 last_error="answer_overdue: 1"', 6.0, False),
+        (b'event=state open=1 answer_overdue=20 last_error="answer_overdue: 1"', 0.0, True),
+        (b"event=fault what=event_failed about=TimerDue", 6.0, True),
+        (b'event=state event_failed=1 last_error="event_failed: TimerDue"', 6.0, True),
+        (b"event=state open=1", 0.0, False),
+    ],
+)
+def test_only_answers_overdue_by_a_pause_are_no_internal_errors(
+    line: bytes, pause: float, is_error: bool
+) -> None:
+    # A paused process answers what fell due meanwhile once it goes on, and its guard may come first.
+    assert _is_internal_error(line, pause) is is_error
