A told drain, removal or start is on disk before discovery is asked for more

Cause: a change reached the disk up to a second after the next watch had told discovery that it was known, and an older generation, used in place of a damaged one, passed for the newest.

A restart plays the log over its generation; where a newer generation or an entry is lost, active servers are stale. pointgw state shows both together. The drain itself counts at once, as before.

--- a/pointgw/command/state.py
+++ b/pointgw/command/state.py
@@ -33,13 +33,14 @@
 
 
 def show(folder: str, as_json: bool) -> int:
-    """Prints the newest valid generation, record by record; returns the exit code."""
+    """Prints the newest valid generation with the changes since, record by record; returns the exit code."""
     loaded = _load(folder)
-    if loaded is None or loaded.snapshot is None:
+    snapshot = loaded.current() if loaded is not None else None
+    if loaded is None or snapshot is None:
         if loaded is not None and not _report_damage(folder, loaded):
             click.echo(f"pointgw state: {folder}: expected a snapshot, found none", err=True)
         return 1
-    snapshot, now = loaded.snapshot, time.time()
+    now = time.time()
     entries = rows(snapshot, now)
     if as_json:
         head = {
@@ -73,9 +74,10 @@
 
 
 def export(folder: str) -> int:
-    """Prints the newest valid generation as JSON; returns the exit code."""
+    """Prints the newest valid generation with the changes since, as JSON; returns the exit code."""
     loaded = _load(folder)
-    if loaded is None or loaded.snapshot is None:
+    snapshot = loaded.current() if loaded is not None else None
+    if loaded is None or snapshot is None:
         return 1
-    click.echo(msgspec.json.encode(msgspec.to_builtins(loaded.snapshot)).decode())
+    click.echo(msgspec.json.encode(msgspec.to_builtins(snapshot)).decode())
     return 1 if _report_damage(folder, loaded) else 0
--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -197,6 +197,8 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signal_number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if self.snapshots is not None:
+            self.snapshots.start(self.reducer, self.loop, self.now)
         self._execute_all(self.reducer.pop_effects())
         if early_signals.pop_sighup():  # a SIGHUP may have come after the file was read
             self.reload()
@@ -208,8 +210,6 @@
         address = ":".join(str(part) for part in self.start_up.listen)
         fields = {"name": self.start_up.name, "on": address, "descriptors": self.descriptor_limit}
         _log.info("serving", extra={"fields": fields})
-        if self.snapshots is not None:
-            self.snapshots.start(self.reducer, self.loop, self.now)
         if self.cluster is not None:
             await self.cluster.start(self.reducer, self.loop, self.start_up.seed)
         if self.recovery is not None:
--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 from pointgw.net.core.effects import RequestList
@@ -37,14 +38,21 @@
         self.failing = False  # the last call failed, and that was logged
 
     def request_list(self, request: RequestList) -> None:
-        """Starts a call for the server list, after its delay."""
+        """Starts a call for the server list, after its delay, once the changes so far are durable.
+
+        The version that it names tells discovery that this balancer knows them."""
         self.request = request
+        start = partial(self._start_call, request)
         if request.delay:
-            self.timer = self.process.loop.call_later(request.delay, self._start_call, request)
+            self.timer = self.process.loop.call_later(request.delay, start)
+        elif self.process.snapshots is not None:
+            self.process.snapshots.when_changes_durable(start)
         else:
-            self._start_call(request)
+            start()
 
     def _start_call(self, request: RequestList) -> None:
+        if request is not self.request:  # given up while it waited
+            return
         timeout = request.wait + WATCH_RESPONSE_SECONDS if request.wait else LIST_RESPONSE_SECONDS
         self.timer = self.process.loop.call_later(timeout, self.fail, "no answer", request.wait > 0)
         if self.link is not None:
--- a/pointgw/net/run/snapshots.py
+++ b/pointgw/net/run/snapshots.py
@@ -19,8 +19,9 @@
 from pointgw.net.wire.start_up import StartUpSettings
 from pointgw.policy import Balancer
 from pointgw.state import records, snapshot_writer
+from pointgw.state.change_recorder import ChangeRecorder
 from pointgw.state.restore import MembershipView, RestoredState, records_from_list, restore
-from pointgw.state.snapshot_store import SnapshotStore
+from pointgw.state.snapshot_store import LoadResult, SnapshotStore
 
 _log = logging.getLogger("pointgw.state")
 
@@ -35,6 +36,7 @@
     restored: RestoredState | None
     boot_id: str  # of this machine, empty if unknown
     writer: snapshot_writer.SnapshotWriter | None = None
+    recorder: ChangeRecorder | None = None
 
     @classmethod
     def create(cls, folder: str, start_up: StartUpSettings, boot_path: str = "") -> SnapshotRunner | None:
@@ -45,23 +47,20 @@
         store, loaded = opened
         fingerprint = records.installation_fingerprint(start_up.names.zones, start_up.profiles)
         listed = records_from_list(start_up.known_list.servers, start_up.known_list.addresses)
-        now, restored, boot_id = time.time(), None, read_boot_id(boot_path)
+        restored, boot_id = None, read_boot_id(boot_path)
+        snapshot = loaded.current() or _snapshot_of_changes(loaded, fingerprint)
         if loaded.snapshot is None:
             _log.info("no snapshot", extra={"fields": {"folder": folder, "lost": len(loaded.damaged)}})
-        else:
-            restored = restore(loaded.snapshot, listed, fingerprint, now, boot_id)
+            if snapshot is not None and not loaded.damaged:  # killed between the list and the first snapshot
+                listed = [msgspec.structs.replace(record, confirmed_at=time.time()) for record in listed]
+        if snapshot is not None:
+            restored = restore(snapshot, listed, fingerprint, time.time(), boot_id, loaded.is_complete)
             if restored is None:
                 store.release()
                 why = "snapshot of another installation: its zones or profiles differ"
                 _log.error("snapshot left untouched", extra={"fields": {"folder": folder, "why": why}})
                 return None
-            fields: dict[str, object] = {
-                "folder": folder,
-                "age": restored.age_seconds,
-                "clean": restored.clean_stop,
-            }
-            fields["warm"] = len(restored.same_process)
-            _log.info("snapshot restored", extra={"fields": fields | restored.status_counts})
+            _log_restored(folder, restored, loaded.is_complete)
         membership = (
             restored.membership
             if restored is not None
@@ -74,21 +73,37 @@
     ) -> None:
         """Starts to write snapshots. `clock`: the process's time in seconds, which never steps."""
 
+        def clock_step() -> float:
+            step = time.time() - clock()
+            return step if abs(step) > CLOCK_TOLERANCE_SECONDS else 0.0
+
+        def pop_changes() -> tuple[records.ServerRecord, ...]:
+            return to_wall_time(self.membership.pop_changes(), clock_step())
+
         def take_snapshot(clean_stop: bool) -> records.Snapshot:
-            now, wall = clock(), time.time()
-            clock_step = wall - now if abs(wall - now) > CLOCK_TOLERANCE_SECONDS else 0.0
+            now, wall, step = clock(), time.time(), clock_step()
             discovery = reducer.discovery  # read here, as a reload may have changed it
             return records.Snapshot(
                 self.fingerprint, wall, reducer.list_requests.version,
                 f"{discovery[0]}:{discovery[1]}", clean_stop,
-                to_wall_time(self.membership.snapshot_records(now), clock_step),
-                server_health(reducer.balancer, now, clock_step), learned_figures(reducer.balancer),
+                to_wall_time(self.membership.snapshot_records(now), step),
+                server_health(reducer.balancer, now, step), learned_figures(reducer.balancer),
                 self.membership.lifetimes, self.boot_id,
             )  # fmt: skip
 
         self.writer = snapshot_writer.SnapshotWriter(
             self.store, take_snapshot, lambda: self.membership.change_count, loop
         )
+        self.recorder = ChangeRecorder(
+            self.store, self.fingerprint, pop_changes, self.writer.thread, self.writer.record_failure
+        )
+
+    def when_changes_durable(self, proceed: Callable[[], None]) -> None:
+        """Calls `proceed` once the list's changes so far outlast this process, or soon if the disk fails."""
+        if self.recorder is None:
+            proceed()
+        else:
+            self.recorder.when_durable(proceed)
 
     async def stop(self) -> None:
         """Writes the last snapshot, as one of a clean stop."""
@@ -96,6 +111,23 @@
             await self.writer.stop(clean_stop=True)
 
 
+def _snapshot_of_changes(loaded: LoadResult, fingerprint: str) -> records.Snapshot | None:
+    """A snapshot of the stored changes, where there is no other; None where there are none."""
+    servers = tuple(loaded.changes.servers(fingerprint).values())
+    return records.Snapshot(fingerprint, time.time(), None, "", False, servers) if servers else None
+
+
+def _log_restored(folder: str, restored: RestoredState, is_complete: bool) -> None:
+    fields: dict[str, object] = {
+        "folder": folder,
+        "age": restored.age_seconds,
+        "clean": restored.clean_stop,
+        "complete": is_complete,
+        "warm": len(restored.same_process),
+    }
+    _log.info("snapshot restored", extra={"fields": fields | restored.status_counts})
+
+
 def read_boot_id(path: str) -> str:
     """The id of the machine's current boot, from the file at `path`; empty where it can't be read."""
     try:
--- a/pointgw/state/restore.py
+++ b/pointgw/state/restore.py
@@ -29,6 +29,7 @@
     records: dict[str, ServerRecord] = field(default_factory=dict)
     lifetimes: ServerLifetimes = field(default_factory=ServerLifetimes)
     change_count: int = 0  # changes of a server's state or process so far
+    unrecorded: dict[str, ServerRecord] = field(default_factory=dict)  # changed since `pop_changes`
     # leaving or left before this start, and no later process listed since
     inactive_before_start: dict[str, ServerRecord] = field(default_factory=dict)
     discovery_answered_at: float = 0.0
@@ -83,6 +84,7 @@
     def _put(self, record: ServerRecord, known: ServerRecord | None, now: float) -> None:
         if known is None or (known.state, known.started_at) != (record.state, record.started_at):
             self.change_count += 1
+            self.unrecorded[record.name] = record
             if known is not None and not known.is_inactive and known.started_at and record.state == "left":
                 lifetime = max(0.0, now - known.started_at)
                 self.lifetimes = ServerLifetimes(
@@ -100,6 +102,11 @@
         if record is not None and not record.is_inactive and now - record.seen_at > 1.0:
             self.records[name] = msgspec.structs.replace(record, seen_at=now)
 
+    def pop_changes(self) -> tuple[ServerRecord, ...]:
+        """The servers whose state or process has changed since the last call."""
+        changed, self.unrecorded = tuple(self.unrecorded.values()), {}
+        return changed
+
     def snapshot_records(self, now: float) -> tuple[ServerRecord, ...]:
         """Records for a snapshot: at most `MAX_RECORDS`, none inactive for `INACTIVE_RETENTION_SECONDS`."""
         records = [
@@ -145,11 +152,17 @@
 
 
 def restore(
-    snapshot: Snapshot, listed: Iterable[ServerRecord], fingerprint: str, now: float, boot_id: str = ""
+    snapshot: Snapshot,
+    listed: Iterable[ServerRecord],
+    fingerprint: str,
+    now: float,
+    boot_id: str = "",
+    is_complete: bool = True,
 ) -> RestoredState | None:
     """Combines a snapshot with the start-up file's list; None if the snapshot is another installation's.
 
     Servers that only the list has are added as stale; it reactivates none. `boot_id`: of the machine, now.
+    Unless the snapshot `is_complete`, any server may have been drained or restarted since: all are stale.
     """
     if snapshot.fingerprint != fingerprint:
         return None
@@ -161,6 +174,8 @@
     addresses: list[tuple[str, str, int]] = []
     for record in records.values():
         status = record_status(record, snapshot.lifetimes, now)
+        if status is RecordStatus.TRUSTED and not is_complete:
+            status = RecordStatus.STALE
         status_counts[status.value] += 1
         if status is RecordStatus.STALE:
             stale.add(record.name)
--- a/pointgw/state/snapshot_writer.py
+++ b/pointgw/state/snapshot_writer.py
@@ -143,8 +143,12 @@
                 self.is_failing = False
                 _log.info("snapshot written again", extra={"fields": {"folder": self.store.folder}})
             return
-        self.stats.failure_count += 1
         self.saved_change_count = -1  # the changes are still to be written
+        self.record_failure(error)
+
+    def record_failure(self, error: BaseException) -> None:
+        """Counts a failed write; logs it unless the one before failed too."""
+        self.stats.failure_count += 1
         if not self.is_failing:
             self.is_failing = True
             why = f"{type(error).__name__} {error}"
