Wrong files and a missing extra are reported with what is expected

What users saw: 'expected an allowed value, not loud' for a wrong choice, KeyError or AttributeError texts without the key for a start-up file, and a traceback from stand-in, load and rig without the extra.

Change: the allowed values of a choice are listed; each required key of a start-up file is read through one function that names it, what is expected and what was found; a module of the extra that is missing is named with the command to install it.

--- a/pointgw/command/main.py
+++ b/pointgw/command/main.py
@@ -12,6 +12,7 @@
 from pointgw.command.common import Address, report_invalid_file
 from pointgw.site import MalformedInputError
 
+EXTRA_MODULES = ("hdrh", "matplotlib", "numpy")  # that the optional extra `rig` installs
 KINDS = ("operator", "start", "scenario", "script")
 
 
@@ -329,3 +330,12 @@
         return 2
     except click.Abort:
         return 130
+    except ModuleNotFoundError as error:
+        if error.name is None or error.name.partition(".")[0] not in EXTRA_MODULES:
+            raise
+        print(
+            f"pointgw: {arguments[0]} needs {error.name}: install pointgw with the extra 'rig',"
+            " pip install 'pointgw[rig]'",
+            file=sys.stderr,
+        )
+        return 2
--- a/pointgw/net/wire/start_up.py
+++ b/pointgw/net/wire/start_up.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from pointgw.interface import Site
 from pointgw.net.wire.server_list import DeploymentNames, ServerList, parse_server_list
-from pointgw.site import Fields, MalformedInputError, parse_site, read_seconds
+from pointgw.site import Fields, MalformedInputError, malformed_field, parse_site, read_seconds
+
+T = TypeVar("T")
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,21 +59,23 @@
     """Reads a start-up file. Raises MalformedInputError."""
     try:
         start = json.loads(data)
-        settings = start["settings"]
+        settings = _read_key(start, "settings", "an object", dict)
         names = DeploymentNames(_names(settings.get("zones")), _names(settings.get("kinds")))
         fields = flatten(settings)
         return StartUpSettings(
-            name=str(start["name"]),
-            listen=_address(start["listen"]),
-            discovery=_address(start["discovery"]),
-            seed=int(str(start["seed"]), 16),
+            name=_read_key(start, "name", "a text", str),
+            listen=_read_key(start, "listen", "HOST:PORT", _address),
+            discovery=_read_key(start, "discovery", "HOST:PORT", _address),
+            seed=_read_key(start, "seed", "a hexadecimal number", lambda value: int(str(value), 16)),
             site=parse_site(fields),
             names=names,
             profiles=_names(settings.get("profiles")),
             tenants=_names(settings.get("tenants")),
             connect_timeout=read_seconds(fields, "limits.connectTimeout", 0.25),
             descriptors=max(0, int((start.get("limits") or {}).get("sockets") or 0)),
-            known_list=parse_server_list(start["known"], names),
+            known_list=_read_key(
+                start, "known", "a server list", lambda value: parse_server_list(value, names)
+            ),
             balancer_index=int(settings.get("me", -1)),
             peers=tuple(_address(peer) for peer in start.get("peers") or ()),
             peer_listen=_address(start["peer_listen"]) if start.get("peer_listen") else None,
@@ -80,6 +85,17 @@
         raise MalformedInputError(f"expected the start-up JSON: {type(error).__name__} {error}") from None
 
 
+def _read_key(start: dict[str, Any], key: str, expected: str, parse: Callable[[Any], T]) -> T:
+    """The parsed value of a required key. Raises MalformedInputError that names the key."""
+    value = start.get(key)
+    if value is None:
+        raise malformed_field(key, None, expected)
+    try:
+        return parse(value)
+    except (TypeError, ValueError, AttributeError):
+        raise malformed_field(key, value, expected) from None
+
+
 def _names(items: Any) -> tuple[str, ...]:
     return tuple(str(item["name"] if isinstance(item, dict) else item) for item in items or ())
 
--- a/pointgw/validation.py
+++ b/pointgw/validation.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from difflib import get_close_matches
 from pathlib import Path
-from typing import Any, TypeVar, get_args, get_origin
+from typing import Any, Literal, TypeVar, get_args, get_origin
 
 import msgspec
 
@@ -76,7 +76,7 @@
         try:
             msgspec.convert(value, kind)
         except msgspec.ValidationError as error:
-            yield InvalidValue(path, repr(value), _expected(str(error)))
+            yield InvalidValue(path, repr(value), _expected(str(error), kind))
     elif get_origin(kind) is list or get_origin(kind) is tuple:
         if not isinstance(value, list):
             yield InvalidValue(path, repr(value), "a list of tables")
@@ -108,12 +108,22 @@
     return next((struct for struct in inner if struct is not None), None)
 
 
-def _expected(text: str) -> str:
-    """What was expected, from a message of msgspec like "Expected `int`, got `str` - at `$.key`"."""
-    text = text.partition(" - at ")[0]
-    return (
-        text.replace("Expected ", "").replace("`", "").replace("Invalid enum value", "an allowed value, not")
-    )
+def _expected(text: str, kind: Any) -> str:
+    """What was expected of a value of type `kind`.
+
+    `text`: a message of msgspec like "Expected `int`, got `str` - at `$.key`"."""
+    if text.startswith("Invalid enum value"):
+        return "one of " + ", ".join(str(value) for value in _allowed_values(kind))
+    return text.partition(" - at ")[0].replace("Expected ", "").replace("`", "")
+
+
+def _allowed_values(kind: Any) -> Iterator[Any]:
+    """The values of all `Literal` types in a type."""
+    for argument in get_args(kind):
+        if get_origin(kind) is Literal:
+            yield argument
+        else:
+            yield from _allowed_values(argument)
 
 
 def _cross_field_errors(struct: msgspec.Struct, path: str) -> Iterator[InvalidValue]:
--- a/tests/test_command.py
+++ b/tests/test_command.py
@@ -44,6 +44,27 @@
     assert named in error and "\n" not in error and "Traceback" not in error
 
 
+def test_check_lists_the_allowed_values(tmp_path: Path, capfd: Any) -> None:
+    path = tmp_path / "pointgw.toml"
+    path.write_text('[log]\nlevel = "loud"\n')
+    assert main(["check", str(path)]) == 1
+    assert "log.level = 'loud': expected one of debug, info, warning, error" in capfd.readouterr().err
+
+
+@pytest.mark.parametrize("command", ["stand-in", "load", "rig"])
+def test_a_missing_extra_is_named_in_one_line(command: str, monkeypatch: Any, capfd: Any) -> None:
+    for module in [
+        name for name in sys.modules if name.startswith(("pointgw.testbed", "pointgw.command.rig"))
+    ]:
+        monkeypatch.delitem(sys.modules, module)
+    monkeypatch.setitem(sys.modules, "hdrh", None)
+    monkeypatch.setitem(sys.modules, "hdrh.histogram", None)
+    arguments = {"load": ["--to", "127.0.0.1:1"], "rig": ["run", "quiet"]}.get(command, [])
+    assert main([command, *arguments]) == 2
+    error = capfd.readouterr().err.strip()
+    assert "pointgw[rig]" in error and "\n" not in error
+
+
 def test_check_reports_all_problems_at_once(tmp_path: Path, capfd: Any) -> None:
     path = tmp_path / "pointgw.toml"
     path.write_text(INVALID_FILE)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -255,6 +255,27 @@
     assert flatten(value) == fields | {"g": ""}
 
 
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("listen", None),
+        ("listen", 5),
+        ("discovery", "here"),
+        ("seed", "xyz"),
+        ("known", None),
+        ("settings", 1),
+    ],
+)
+def test_a_bad_start_up_file_is_refused_with_its_key(key: str, value: object) -> None:
+    start = {"name": "n0", "seed": "1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2"}
+    settings = {"zones": ["a"], "kinds": ["m"], "profiles": [{"name": "chat", "semantics": "pure"}]}
+    known = {"index": 1, "snapshot": True, "endpoints": []}
+    document = start | {"settings": settings, "known": known, key: value}
+    got = "nothing" if value is None else repr(value)
+    with pytest.raises(MalformedInputError, match=f"^expected {key} as .*, got {got}$"):
+        parse_start_up_file(json.dumps(document).encode())
+
+
 @pytest.mark.parametrize("data", [b"", b"{}", b'{"settings":{}}'])
 def test_a_bad_start_up_file_is_refused(data: bytes) -> None:
     with pytest.raises(MalformedInputError):
