Unreported placements of a server are bounded, and taken back from the latest on

What was seen: on a site without probes no report ever removes a server's unreported placements: one number a setup stays for ever, and taking one back searches all of them.

Change: the latest MAX_OBSERVED_TUNNELS (4,000) are kept, as with unreported openings; a removal searches from the latest on and stops at the first earlier one. Under that number every decision is as before.

--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -226,12 +226,24 @@
         self.unstable_until = 0.0  # not ready before this time, as it failed repeatedly
         self.reset()
 
+    def remove_placement(self, sent_at: float) -> bool:
+        """Removes a placement without effect; False if it is reported. The search begins at the latest."""
+        for position in range(len(self.unreported_placements) - 1, -1, -1):
+            at = self.unreported_placements[position]
+            if at == sent_at:
+                del self.unreported_placements[position]
+                return True
+            if at < sent_at:
+                return False
+        return False
+
     def reset(self) -> None:
         """Forgets what applied to the former process of the server."""
         self.reported_busy: float | None = None  # busy figure of the latest report; None: no report
         self.reported_load = 0.0  # load over capacity of the latest report
         self.reported_at = self.answered_at = -inf  # latest report; latest report or end of a probe
-        self.unreported_placements: list[float] = []  # times of own placements not yet in a report
+        # Times of own placements not yet in a report, in order: the latest, as reports may never come.
+        self.unreported_placements: deque[float] = deque(maxlen=MAX_OBSERVED_TUNNELS)
         self.unreported_openings: deque[float] = deque(maxlen=MAX_OBSERVED_TUNNELS)  # those that were opened
         self.estimate_due = inf  # when a report will include enough of these for an estimate
         # Upper bound of the load of one tunnel by a report; when it was made.
@@ -1234,8 +1246,7 @@
             self.queue.pop(tunnel, None)
             tunnel.transition_to(State.ENDED)
         elif not was_open:
-            if not setup.may_have_run and setup.sent_at in setup.server.unreported_placements:
-                setup.server.unreported_placements.remove(setup.sent_at)
+            if not setup.may_have_run and setup.server.remove_placement(setup.sent_at):
                 self._update_load_estimate(setup.server)
             tunnel.transition_to(State.QUEUED)
             # Guards against a storm of own retries: where few setups open, few are repeated.
@@ -1473,7 +1484,9 @@
         server.reported_busy = server.reported_busy if busy is None else busy
         # Guards against reports that lag: they do not include what was placed just before.
         reported_until = now - PLACEMENT_REPORT_DELAY * self.attempt_timeout
-        server.unreported_placements = [at for at in server.unreported_placements if at > reported_until]
+        server.unreported_placements = deque(
+            (at for at in server.unreported_placements if at > reported_until), MAX_OBSERVED_TUNNELS
+        )
         if "load" in report:
             self._update_max_load_per_tunnel(server, now, reported_until)
             server.assumed_peer_load = self.uniform(0.0, self._max_peer_load(now))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1083,6 +1083,18 @@
     assert server.max_load_per_tunnel == pytest.approx(0.1)  # by the ten open ones
 
 
+def test_unreported_placements_are_limited_where_no_report_comes() -> None:
+    # Guards memory and the cost of a setup on sites without probes, where no report removes them.
+    balancer, _, (server, _) = make_balancer([None, None], may_probe=False)
+    for number in range(5000):
+        tunnel = make_tunnel(balancer)
+        balancer._send_setup(tunnel, server, 100.0 + number / 1000)
+    assert len(server.unreported_placements) == 4000
+    # One without effect is taken back, whichever of the same moment it was; a forgotten one isn't there.
+    assert server.remove_placement(100.0 + 4990 / 1000) and len(server.unreported_placements) == 3999
+    assert not server.remove_placement(100.0 + 4990 / 1000) and not server.remove_placement(100.0)
+
+
 @pytest.mark.parametrize(("fields", "kept"), [(("connections",), 0), (("load",), 4000)])
 def test_unreported_openings_are_limited_where_no_report_comes(fields: tuple[str, ...], kept: int) -> None:
     # Guards memory: only a report of the load removes these entries.
