The cluster's log line tells when traffic leaves its zone, and by what

Change: a line also where the plan begins or ceases to send traffic out of the own zone, with suspects, lowest shares, capacity and demand by zone. A share that is 1 but for rounding counts as 1.

--- a/pointgw/net/run/cluster.py
+++ b/pointgw/net/run/cluster.py
@@ -21,6 +21,7 @@
 from pointgw.cluster import settings
 from pointgw.cluster.node import ClusterNode, ClusterSettings
 from pointgw.cluster.observations import ZoneObservation
+from pointgw.cluster.plan import MIN_LOAD
 from pointgw.cluster.transport import ClusterTransport
 from pointgw.cluster.wire import Keys
 from pointgw.interface import Profile
@@ -145,13 +146,14 @@
             return
         node, balancer = self.transport.node, self.reducer.balancer
         own_shares = node.plan.shares[self.settings.zone]
-        all_local = all(share[self.settings.zone] == 1.0 for share in own_shares)
+        all_local = all(share[self.settings.zone] > 1.0 - MIN_LOAD for share in own_shares)
         balancer.zone_shares = {} if all_local else dict(zip(balancer.profiles, own_shares, strict=True))
         agreed = node.agreement.agreed_vote
-        to_log = (len(node.members.live_members()), agreed, node.has_map_mismatch())
+        to_log = (len(node.members.live_members()), agreed, node.has_map_mismatch(), all_local)
         if to_log != self.last_logged:
             self.last_logged = to_log
-            _log.info("tier", extra={"fields": self._status_fields(now)})
+            fields = self._status_fields(now) | self._plan_fields(now)
+            _log.info("tier", extra={"fields": fields})
         if (node.refused_evacuation is not None) is not self.evacuation_refused:
             self.evacuation_refused = node.refused_evacuation is not None
             if node.refused_evacuation is not None:
@@ -174,6 +176,20 @@
             "other_maps": len(node.members.map_mismatches), "doubt": node.members.health_score,
         }  # fmt: skip
 
+    def _plan_fields(self, now: float) -> dict[str, object]:
+        """Fields of the log line that tell why traffic leaves the own zone: suspects, and by zone the lowest
+        share of a profile, the capacity and the demand."""
+        assert self.transport is not None
+        node = self.transport.node
+        estimates = node.zone_estimates(now)
+        rows = zip(*node.plan.shares[self.settings.zone], strict=True)
+        return {
+            "suspects": len(node.members.live_members()) - len(node.members.unsuspected_members()),
+            "shares": ",".join(f"{min(column):.2f}" for column in rows),
+            "room": ",".join(f"{estimate.capacity:.2f}" for estimate in estimates),
+            "need": ",".join(f"{sum(estimate.demand):.2f}" for estimate in estimates),
+        }
+
     def _write_status(self, now: float) -> None:
         """Starts to replace the status file, which operators read."""
         assert self.transport is not None
