Unused attributes and a constant of the testbed and the fault proxy are gone

Endpoint.out, Connection.first_bytes_ended, Client.opened, ClientConnection.sent and AFTER_ANSWER_SECONDS were written or defined and never read.

--- a/pointgw/fault_proxy/proxy.py
+++ b/pointgw/fault_proxy/proxy.py
@@ -54,12 +54,11 @@
 class Endpoint(asyncio.Protocol):
     """One of the two sockets of a connection."""
 
-    __slots__ = ("connection", "out", "transport")
+    __slots__ = ("connection", "transport")
 
     def __init__(self, connection: Connection) -> None:
         self.connection = connection
         self.transport: asyncio.Transport | None = None
-        self.out: Flow | None = None  # not used
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -183,7 +182,6 @@
         self.started_at = self.loop.time()
         self.name = ""
         self.first_bytes = bytearray()  # bytes received before it has a name
-        self.first_bytes_ended = False
         self.client, self.target = Endpoint(self), Endpoint(self)
         self.up, self.down = Flow(self, self.client, self.target), Flow(self, self.target, self.client)
         self.state = ProxyConnectionState.READING_FIRST_LINE
--- a/pointgw/testbed/clients.py
+++ b/pointgw/testbed/clients.py
@@ -30,7 +30,6 @@
 SLOW_READER_LINES = 200  # lines to be echoed that a slow reader sends at each read
 SLOW_READ_SECONDS = 0.5  # seconds between two reads of a slow reader
 ANSWER_SLACK_SECONDS = 0.05  # seconds beyond its timeout that a client waits for an answer
-AFTER_ANSWER_SECONDS = 0.3  # seconds after the last answer in which further lines are recorded
 
 
 class ClientState(Enum):
@@ -59,7 +58,6 @@
         "clients",
         "connection",
         "due_at",
-        "opened",
         "returning",
         "state",
         "tries",
@@ -68,7 +66,7 @@
     def __init__(self, clients: Clients, arrival: ClientArrival) -> None:
         self.clients, self.arrival = clients, arrival
         self.state = ClientState.WAITING
-        self.tries, self.opened = 0, 0
+        self.tries = 0
         self.returning = False
         self.due_at = 0.0  # scheduled time of this try
         self.answer_delay = 0.0  # seconds, of the latest echoed line
@@ -136,7 +134,6 @@
         "client",
         "line_number",
         "line_sent_at",
-        "sent",
         "transport",
         "tunnel_id",
     )
@@ -151,7 +148,6 @@
         self.line_sent_at: float | None = None  # when the line was sent that is not answered yet
         self.line_number = 0  # number of the latest line sent
         self.transport: asyncio.Transport | None = None
-        self.sent = False
         clients.spawn(self._connect())
 
     async def _connect(self) -> None:
@@ -179,7 +175,6 @@
             f",s={clients.demand.swing:g}{',again=1' if client.returning else ''}"
         )
         self.transport.write(line.encode() + LINE_END)
-        self.sent = True
         now = time.monotonic()
         clients.writer.write(
             Asked(
