A standing connection is answered before its client's time, not at it

What callers saw: a standing connection (at=ID) whose server stays unknown or silent was answered when its time was over, so that the answer reached its client after it had given up.

Cause: its deadline was its client's time from the moment at which the balancer read the line, with nothing kept for the answer. Requests of the policy have their deadline answer_margin before that.

Change: the same margin for both.

--- a/pointgw/net/core/inherited_tunnels.py
+++ b/pointgw/net/core/inherited_tunnels.py
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True)
 class InheritedRequest:
-    """A request that is not open here yet; `deadline`: time in seconds."""
+    """A request that is not open here yet; `deadline`: time in seconds by which it is answered."""
 
     client: int
     request: OpenRequest
@@ -45,10 +45,15 @@
 
 
 class InheritedTunnels:
-    """The requests for such tunnels. `addresses`: of the servers, by name; changed by the owner."""
+    """The requests for such tunnels. `addresses`: of the servers, by name; changed by the owner.
 
-    def __init__(self, addresses: Mapping[str, effects.Address], max_waiting: int) -> None:
-        self.addresses = addresses
+    `answer_margin`: seconds before a client's timeout at which it is answered, or the answer would be late.
+    """
+
+    def __init__(
+        self, addresses: Mapping[str, effects.Address], max_waiting: int, answer_margin: float
+    ) -> None:
+        self.addresses, self.answer_margin = addresses, answer_margin
         self.max_waiting = max_waiting  # requests that may wait for a list at one time
         self.requests: dict[int, InheritedRequest] = {}  # by client
         self.waiting: dict[int, None] = {}  # clients whose request waits for a list, oldest first
@@ -58,7 +63,8 @@
 
     def add(self, client: int, request: OpenRequest, now: float) -> None:
         """Adds a request that has arrived; `next_step` says what to do for it."""
-        self.requests[client] = InheritedRequest(client, request, now + inherited_timeout(request))
+        deadline = now + inherited_timeout(request) - self.answer_margin
+        self.requests[client] = InheritedRequest(client, request, deadline)
 
     def remove(self, client: int) -> InheritedRequest | None:
         """Removes the request of a client, as it is open, answered, or its client has left."""
--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -86,7 +86,6 @@
         self.clients: dict[int, Client] = {}
         self.client_of: dict[Tunnel, Client] = {}
         self.addresses: dict[str, effects.Address] = {}  # by server name
-        self.inherited = InheritedTunnels(self.addresses, DEFAULT_MAX_WAITING)
         self.discovery = start.discovery
         self.tunnel_names: set[str] = set()  # of the tunnels in `clients`
         self.timer_due_at = inf
@@ -107,6 +106,7 @@
         self.uniform = rng.uniform
         self.list_requests = ListRequests(start, rng.uniform, now)
         self.balancer = policy(replace(start.site, list_is_polled=True), self, rng, now)
+        self.inherited = InheritedTunnels(self.addresses, DEFAULT_MAX_WAITING, self.balancer.answer_margin)
         self.probe_timeout = self.balancer.attempt_timeout / 2
         self.start_times = StartTimes(start.site.warm_up_window)
         self.guard = DeliveryGuard(start.site.only_draining_excludes)
