--- a/pointgw/state/change_log.py
+++ b/pointgw/state/change_log.py
@@ -1,8 +1,8 @@
 """Encodes the change log: changes of servers since a snapshot was taken. No I/O.
 
-The log is a sequence of entries, each a header line with a digest, then MessagePack:
+The log is a sequence of entries, each a header line like that of a snapshot, then MessagePack:
 
-    pointgw-changes DIGEST LENGTH LF payload LF
+    pointgw-changes VERSION DIGEST LENGTH LF payload LF
 
 Each entry is written twice, so that damage at one place loses none. An incomplete entry at the end, as a
 kill leaves it, is skipped, as is anything else that is not a valid entry.
@@ -11,15 +11,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from hashlib import blake2b
 
 import msgspec
 
 from pointgw.state.records import ServerRecord, StoredStruct
+from pointgw.state.snapshot_format import MAX_HEADER_BYTES, VERSION, header
 
-MAGIC = b"pointgw-changes "
+MAGIC = b"pointgw-changes"
 COPIES = 2  # of each entry
-MAX_HEADER_BYTES = 80  # of an entry's first line
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -64,12 +63,7 @@
 def encode(entry: ChangeEntry) -> bytes:
     """The bytes to append for an entry, with its copies."""
     payload = _encoder.encode(entry)
-    return (_header(payload) + payload + b"\n") * COPIES
-
-
-def _header(payload: bytes) -> bytes:
-    digest = blake2b(b"%d\n" % len(payload) + payload, digest_size=16).hexdigest().encode()
-    return b"%s%s %d\n" % (MAGIC, digest, len(payload))
+    return (header(MAGIC, VERSION, payload) + payload + b"\n") * COPIES
 
 
 def decode(data: bytes) -> ChangeHistory:
@@ -89,14 +83,14 @@
 
 def _decode_at(data: bytes, position: int) -> tuple[ChangeEntry, int] | None:
     """The entry at a position, and where it ends; None if there is no valid one."""
-    header, newline, _ = data[position : position + MAX_HEADER_BYTES].partition(b"\n")
-    words = header.split(b" ")
-    if not newline or len(words) != 3 or not words[2].isdigit():
+    first_line, newline, _ = data[position : position + MAX_HEADER_BYTES].partition(b"\n")
+    words = first_line.split(b" ")
+    if not newline or not words[-1].isdigit():
         return None
-    begin = position + len(header) + 1
-    end = begin + int(words[2])
+    begin = position + len(first_line) + 1
+    end = begin + int(words[-1])
     payload = data[begin:end]
-    if _header(payload) != header + b"\n":
+    if header(MAGIC, VERSION, payload) != first_line + b"\n":
         return None
     try:
         return _decoder.decode(payload), end
--- a/pointgw/state/snapshot_format.py
+++ b/pointgw/state/snapshot_format.py
@@ -33,26 +33,27 @@
 def encode(snapshot: Snapshot) -> bytes:
     """The bytes of a generation."""
     payload = _encoder.encode(snapshot)
-    return _header(VERSION, payload) + payload
+    return header(MAGIC, VERSION, payload) + payload
 
 
-def _header(version: int, payload: bytes) -> bytes:
+def header(magic: bytes, version: int, payload: bytes) -> bytes:
+    """The line before a payload: what it is, its format version, a digest and its length in bytes."""
     covered = b"%d %d\n" % (version, len(payload))
     digest = blake2b(covered + payload, digest_size=16).hexdigest().encode()
-    return b"%s %d %s %d\n" % (MAGIC, version, digest, len(payload))
+    return b"%s %d %s %d\n" % (magic, version, digest, len(payload))
 
 
 def decode(data: bytes) -> Snapshot:
     """The snapshot in the bytes of a generation. Raises `DamagedSnapshotError` or `NewerVersionError`."""
     if not data:
         raise DamagedSnapshotError("empty")
-    header, newline, payload = data[:MAX_HEADER_BYTES].partition(b"\n")
-    words = header.split(b" ")
+    first_line, newline, payload = data[:MAX_HEADER_BYTES].partition(b"\n")
+    words = first_line.split(b" ")
     if not newline or len(words) != 4 or words[0] != MAGIC or not words[1].isdigit():
         raise DamagedSnapshotError("not a pointgw snapshot")
     version = int(words[1])
-    payload = data[len(header) + 1 :]
-    if _header(version, payload) != data[: len(header) + 1]:
+    payload = data[len(first_line) + 1 :]
+    if header(MAGIC, version, payload) != data[: len(first_line) + 1]:
         raise DamagedSnapshotError("truncated or altered")
     if version > VERSION:
         raise NewerVersionError(f"format version {version}, this program reads up to {VERSION}")
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -91,7 +91,7 @@
 
 def snapshot_of_a_newer_version() -> bytes:
     payload = msgspec.msgpack.encode(["whatever", "comes"])
-    return snapshot_format._header(snapshot_format.VERSION + 1, payload) + payload
+    return snapshot_format.header(snapshot_format.MAGIC, snapshot_format.VERSION + 1, payload) + payload
 
 
 # Files.
