A process that an earlier list lacked is cold from when it is listed, whatever its clock says

Cause: from the moment at which a new name is listed the balancer believes that its process is as old as the list states, on no evidence but the clock of that server's machine, though the list before had no such process. A restart of a known name was bounded by the last list, but with a whole warm-up window of slack, so a clock that is back by about that window made it warm, too.

The state line tells implausible_starts now (processes said to be warm when first listed).

Change: a reported start identifies a process. Its age counts only in a balancer's first knowledge of it (start-up file, or a very first list); a process that an earlier list lacked started when it is listed. A late list thus makes a server a few seconds younger than it is, at most one warm-up. Leases and datagrams of the cluster hold no clock times.

--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -34,7 +34,7 @@
 from pointgw.net.core.guard import DeliveryGuard
 from pointgw.net.core.inherited_tunnels import INHERITED_RETRY_SECONDS, InheritedTunnels, Rejection
 from pointgw.net.core.list_requests import ListRequests, ListStatus
-from pointgw.net.core.start_times import StartTimes
+from pointgw.net.core.start_times import ProcessStart, StartTimes
 from pointgw.net.invariant import check_invariant
 from pointgw.net.wire.lines import Decline, Failure, OpenRequest
 from pointgw.net.wire.server_list import ServerList
@@ -115,6 +115,10 @@
         else:
             # Requests the complete list: the snapshot's discovery may have numbered its versions differently.
             self.list_requests.version = None
+            for record in restored.membership.records.values():
+                if record.effective_start:
+                    process_start = ProcessStart(record.started_at, record.effective_start)
+                    self.start_times.restore(record.name, process_start, now)
             self._update_list(ServerList(0, True, restored.entries, restored.addresses), True, now)
 
     def dispatch(self, event: Event, now: float) -> list[effects.Effect]:
@@ -354,7 +358,10 @@
         if self.membership is not None and not cached:
             entries = self.membership.apply_list(entries, received.addresses, received.is_complete, self.now)
         before = self.balancer.active_servers
-        entries = self.start_times.translate(entries, self.now, wall_clock, not cached)
+        entries = list(self.start_times.translate(entries, self.now, wall_clock, not cached))
+        if self.membership is not None and not cached:
+            for entry in entries:
+                self.membership.record_start(entry.server, self.start_times.starts[entry.server])
         entries = [
             entry if entry.server in self.addresses else entry._replace(state="leaving") for entry in entries
         ]
@@ -484,4 +491,5 @@
             "watching": self.balancer.is_watching_list,
             "list": self.list_requests.status.value,
             "awaiting_list": len(self.inherited.waiting),
+            "implausible_starts": self.start_times.implausible_count,
         }
--- a/pointgw/net/run/snapshots.py
+++ b/pointgw/net/run/snapshots.py
@@ -148,6 +148,7 @@
             record,
             confirmed_at=record.confirmed_at and record.confirmed_at + clock_step,
             seen_at=record.seen_at and record.seen_at + clock_step,
+            effective_start=record.effective_start and record.effective_start + clock_step,
         )
         for record in server_records
     )
--- a/pointgw/state/merge.py
+++ b/pointgw/state/merge.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from pointgw.state.records import ServerRecord
 
 STATE_RANK = {"active": 0, "leaving": 1, "left": 2}
@@ -17,8 +19,13 @@
 def join_records(one: ServerRecord, other: ServerRecord) -> ServerRecord:
     """The join of two records of the same server."""
     winner = max(one, other, key=_precedence)
-    seen_at = max(one.seen_at, other.seen_at) if one.started_at == other.started_at else winner.seen_at
-    return _with_seen_at(winner, seen_at)
+    if one.started_at != other.started_at:
+        return winner
+    return msgspec.structs.replace(
+        winner,
+        seen_at=max(one.seen_at, other.seen_at),
+        effective_start=max(one.effective_start, other.effective_start),
+    )
 
 
 def _precedence(record: ServerRecord) -> tuple[object, ...]:
@@ -29,15 +36,6 @@
     )  # fmt: skip
 
 
-def _with_seen_at(record: ServerRecord, seen_at: float) -> ServerRecord:
-    if record.seen_at == seen_at:
-        return record
-    return ServerRecord(
-        record.name, record.state, record.started_at, record.confirmed_at, record.host,
-        record.port, record.zone, record.kind, record.cell, record.weight, seen_at,
-    )  # fmt: skip
-
-
 def merge(*sources: Iterable[ServerRecord]) -> dict[str, ServerRecord]:
     """The join of all records of each server, by name; sorted, so that equal contents have equal order."""
     merged: dict[str, ServerRecord] = {}
--- a/pointgw/state/records.py
+++ b/pointgw/state/records.py
@@ -28,6 +28,7 @@
     cell: int = 0
     weight: float = 1.0
     seen_at: float = 0.0  # when own traffic last showed it alive; 0: never
+    effective_start: float = 0.0  # where it differs from `started_at`: from when on it counted as cold
 
     @property
     def is_inactive(self) -> bool:
--- a/pointgw/state/restore.py
+++ b/pointgw/state/restore.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from pointgw.interface import ServerEntry
+from pointgw.net.core.start_times import ProcessStart
 from pointgw.state.confidence import RecordStatus, confidence, is_same_process, record_status
 from pointgw.state.merge import join_records, merge
 from pointgw.state.records import LearnedFigures, ServerHealth, ServerLifetimes, ServerRecord, Snapshot
@@ -59,10 +60,12 @@
             host, port = address_of.get(
                 entry.server, (known.host, known.port) if known is not None else ("", 0)
             )
-            seen_at = known.seen_at if known is not None and known.started_at == started_at else 0.0
+            seen_at = effective_start = 0.0
+            if known is not None and known.started_at == started_at:
+                seen_at, effective_start = known.seen_at, known.effective_start
             record = ServerRecord(
                 entry.server, entry.state, started_at, now, host, port, entry.zone, entry.kind, entry.cell,
-                entry.weight, seen_at,
+                entry.weight, seen_at, effective_start,
             )  # fmt: skip
             inactive = self.inactive_before_start.get(entry.server)
             if inactive is not None and entry.state == "active":
@@ -92,6 +95,16 @@
                 )
         self.records[record.name] = record
 
+    def record_start(self, name: str, start: ProcessStart) -> None:
+        """Records from when on a listed server's process counts as cold, where the list says otherwise."""
+        record = self.records[name]
+        if start.effective in (start.reported, record.effective_start):
+            return
+        record = msgspec.structs.replace(record, effective_start=start.effective)
+        self.records[name] = record
+        if name in self.unrecorded:
+            self.unrecorded[name] = record
+
     def confirm_listed(self, now: float) -> None:
         """Records an answer of discovery, which confirms all servers that it has listed as active."""
         self.discovery_answered_at = now
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -49,6 +49,29 @@
     assert translated(times, BEGAN + 5.0, now, now) == now
 
 
+@pytest.mark.parametrize("step_back", [0.0, 3.0, WARM_UP - 1.0, WARM_UP, WARM_UP + 5.0, HOUR])
+@pytest.mark.parametrize("outage", [0.0, 10.0])
+@pytest.mark.parametrize("restarted", [False, True])
+@pytest.mark.parametrize("earlier_list_received", [False, True])
+def test_a_process_that_an_earlier_list_lacked_starts_when_it_is_listed(
+    step_back: float, outage: float, restarted: bool, earlier_list_received: bool
+) -> None:
+    """Guards rule 4 against a server whose machine's wall clock is behind: it would count as warm."""
+    times, age, now = StartTimes(WARM_UP), 1.2, BEGAN + 100.0
+    earlier = [entry(BEGAN - HOUR, "other")] + ([entry(BEGAN - 2 * HOUR)] if restarted else [])
+    list(times.translate(earlier, now - 2.0 - outage, now - 2.0 - outage, earlier_list_received))
+    started = translated(times, now - age - step_back, now, now)
+    assert now - age <= started <= now
+    assert translated(times, now - age - step_back, now + 9.0, now + 9.0) == started
+
+
+def test_starts_that_can_not_be_true_are_counted() -> None:
+    times, now = StartTimes(WARM_UP), BEGAN + 100.0
+    translated(times, 0.0, now - 8.0, now - 8.0)
+    list(times.translate([entry(now - 2.0, "late"), entry(now - HOUR, "behind")], now, now, True))
+    assert times.implausible_count == 1
+
+
 def test_without_a_step_a_start_is_unchanged() -> None:
     times, now = StartTimes(WARM_UP), BEGAN + 50.0
     assert translated(times, BEGAN + 33.3, now, now + 0.1) == BEGAN + 33.3
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from random import Random
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -349,6 +350,7 @@
     host=st.sampled_from(["127.0.0.1", "127.0.0.2"]),
     port=st.sampled_from([1, 2]),
     seen_at=st.sampled_from([0.0, 8.0]),
+    effective_start=st.sampled_from([0.0, 3.0, 4.0]),
 )
 
 
@@ -465,6 +467,30 @@
     assert reducer.balancer.servers["s-1"].active
 
 
+@pytest.mark.parametrize("writes_snapshot", [True, False])
+def test_a_server_whose_clock_is_behind_stays_cold_over_a_restart(
+    tmp_path: Path, writes_snapshot: bool
+) -> None:
+    """Guards rule 4 after an own restart: the snapshot had the start as reported, an hour too early."""
+    reducer, runner = restored_reducer(tmp_path, make_record(at=time.time()))
+    listed = ServerList(5, False, (make_entry("s-new", began=time.time() - 3600.0),), (("s-new", "h", 9005),))
+    first_listed_at = time.time()
+    reducer.dispatch(ListReceived(listed, first_listed_at), first_listed_at)
+    runner.start(reducer, Mock())
+    if writes_snapshot:
+        assert runner.writer is not None
+        runner.store.save(snapshot_format.encode(runner.writer.take_snapshot(False)))
+    else:
+        assert runner.recorder is not None
+        runner.store.append_changes(runner.recorder.fingerprint, runner.membership.pop_changes())
+    runner.store.release()
+    restarted, _ = restored_reducer(tmp_path)
+    now = time.time()
+    restarted.dispatch(ListReceived(listed, now), now)
+    server = restarted.balancer.servers["s-new"]
+    assert abs(server.warm_at - restarted.balancer.warm_up_window - first_listed_at) < 0.001
+
+
 def test_stale_servers_get_one_tunnel_at_a_time_until_a_probe_answers(tmp_path: Path) -> None:
     now = time.time()
     old = [make_record(f"s-{i}", at=now - 7 * 86400.0, port=9000 + i) for i in range(3)]
