A connection is read in small portions and in turn, so a flood keeps no others waiting and no memory

Cause: the balancer believes that a read is short. The event loop reads 256 KiB at a time from such a connection, up to 32 times in one iteration, and each line of it was split off, each LOAD decoded and passed to the reducer. What was read was kept whole while the other side did not take it; the limit of 16 KiB acts only after that. limits.memory_mb was read nowhere.

Evidence: the balancer's processor at one core while its state line was late; `sink` with raw bytes alone held others for 0.4 s, and with LOAD lines until the flood ended. So neither the accept loop nor the policy's queue is at fault.

Change: client and server connections read at most 16 KiB at a time and 64 KiB in one iteration; of a server's lines only the last LOAD and the last BYE or MOVE are decoded. limits.memory_mb over the descriptors sets lower limits where memory is short.

--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -8,6 +8,7 @@
 
 from pointgw.net.core.events import AnswerTimerDue, ClientArrived, ClientLeft
 from pointgw.net.run import tcp
+from pointgw.net.run.bounded_reader import BoundedReader
 from pointgw.net.run.connection_state import ConnectionLifecycle, ConnectionState
 from pointgw.net.wire import lines
 from pointgw.site import MalformedInputError
@@ -17,7 +18,7 @@
     from pointgw.net.run.server import ServerConnection
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(BoundedReader):
     """One connection from a client, from accept to close."""
 
     __slots__ = (
@@ -30,10 +31,12 @@
         "process",
         "request_id",
         "server",
-        "transport",
     )
 
+    transport: asyncio.Transport
+
     def __init__(self, process: BalancerProcess) -> None:
+        super().__init__(process.loop, process.buffer_limit)
         self.process, self.accepted_at = process, process.now()
         self.number = -1  # assigned with its request
         self.request_id, self.answer_deadline = "-", 0.0  # deadline: time in seconds
@@ -44,7 +47,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.transport.set_write_buffer_limits(tcp.BUFFER_LIMIT)
+        self.transport.set_write_buffer_limits(self.buffer_limit)
         self.process.client_accepted(self)
 
     def data_received(self, data: bytes) -> None:
@@ -147,11 +150,11 @@
 
     def pause_writing(self) -> None:
         if self.server is not None:
-            self.server.pause_reading()
+            self.server.hold_reading()
 
     def resume_writing(self) -> None:
         if self.server is not None:
-            self.server.resume_reading()
+            self.server.release_reading()
 
     def eof_received(self) -> None:
         if self.lifecycle.state is ConnectionState.IDLE and self.buffer:
--- a/pointgw/net/run/listener.py
+++ b/pointgw/net/run/listener.py
@@ -29,7 +29,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        factory: Callable[[], asyncio.Protocol],
+        factory: Callable[[], asyncio.BaseProtocol],
         free_descriptor: Callable[[], object],
     ) -> None:
         self.loop, self.factory, self.free_descriptor = loop, factory, free_descriptor
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -9,6 +9,7 @@
 from pointgw.net.core.effects import Connect
 from pointgw.net.core.events import LoadReported, ServerSlow, SetupConnected, SetupEnded, SetupOpened
 from pointgw.net.run import tcp
+from pointgw.net.run.bounded_reader import BoundedReader
 from pointgw.net.run.client import ClientConnection
 from pointgw.net.run.connection_state import ConnectionLifecycle, ConnectionState
 from pointgw.net.wire import lines
@@ -18,7 +19,7 @@
     from pointgw.net.run.balancer_process import BalancerProcess
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(BoundedReader):
     """One setup on a connection of its own. Only `write_request` writes the request, once the reducer has
     been notified that the connection is up; before that nothing was sent, and the setup can be dropped
     safely.
@@ -26,15 +27,16 @@
 
     __slots__ = (
         "attempt", "buffer", "client", "deadline", "end_line", "lifecycle", "process", "task", "timer",
-        "transport", "unanswered_since", "up_line",
+        "unanswered_since", "up_line",
     )  # fmt: skip
 
     def __init__(self, process: BalancerProcess, attempt: Connect, client: ClientConnection) -> None:
+        super().__init__(process.loop, process.buffer_limit)
+        self.transport = None
         self.process, self.attempt, self.client = process, attempt, client
         self.lifecycle = ConnectionLifecycle(ConnectionState.CONNECTING)
         self.buffer = bytearray()  # received after the last whole line
         self.end_line: lines.EndLine | None = None  # the last line of a server that closes in order
-        self.transport: asyncio.Transport | None = None
         self.up_line: lines.Up | None = None
         self.unanswered_since: float | None = None  # when client data was first left without a reply
         # Not by the loop's clock, which lags while the loop is busy.
@@ -62,7 +64,7 @@
         if self.lifecycle.state is not ConnectionState.CONNECTING:
             self.transport.abort()  # abandoned while connecting
             return
-        self.transport.set_write_buffer_limits(tcp.BUFFER_LIMIT)
+        self.transport.set_write_buffer_limits(self.buffer_limit)
         if not self.client.detect_disconnect():  # otherwise its ClientLeft ends this setup
             self.process.submit(SetupConnected(self.attempt.client, self.attempt.setup))
 
@@ -122,13 +124,10 @@
             elapsed, self.unanswered_since = self.process.now() - self.unanswered_since, None
             if elapsed > self.process.slow_threshold:
                 self.process.submit(ServerSlow(self.attempt.client, elapsed, False))
-        for line in whole_lines.split(b"\n"):
-            if line[:1] in (b"L", b"B", b"M"):
-                message = lines.parse_server_line(line.removesuffix(b"\r"))
-                if isinstance(message, lines.Load):
-                    self.process.submit(LoadReported(self.attempt.client, message))
-                elif isinstance(message, lines.EndLine) and message.ending in ("ok", "cancelled"):
-                    self.end_line = message
+        load, end_line = lines.parse_relayed_lines(whole_lines)
+        self.end_line = end_line or self.end_line
+        if load is not None:
+            self.process.submit(LoadReported(self.attempt.client, load))
         if self.lifecycle.state is ConnectionState.RELAYING:
             self.client.send_lines(whole_lines)
 
@@ -145,14 +144,10 @@
             if self.unanswered_since is None:
                 self.unanswered_since = self.process.now()
 
-    def pause_reading(self) -> None:
+    def hold_reading(self) -> None:
         """Stops reading while the client is slow to read; the server does not count as silent meanwhile."""
         self.unanswered_since = None
-        tcp.pause_reading(self.transport)
-
-    def resume_reading(self) -> None:
-        """Reads again, once the client reads."""
-        tcp.resume_reading(self.transport)
+        super().hold_reading()
 
     def check_inactivity(self, now: float) -> None:
         """Reports a server that has sent nothing for too long since the client's data: it may be gone."""
@@ -207,11 +202,11 @@
 
     def pause_writing(self) -> None:
         if self.lifecycle.state is ConnectionState.RELAYING:
-            tcp.pause_reading(self.client.transport)
+            self.client.hold_reading()
 
     def resume_writing(self) -> None:
         if self.lifecycle.state is ConnectionState.RELAYING:
-            tcp.resume_reading(self.client.transport)
+            self.client.release_reading()
 
     def eof_received(self) -> None:
         self._end(self.lifecycle.disconnect_ending())
--- a/pointgw/net/run/tcp.py
+++ b/pointgw/net/run/tcp.py
@@ -9,7 +9,10 @@
 import struct
 import termios
 
-BUFFER_LIMIT = 16 * 1024  # bytes buffered for one side from which the other side is not read
+# Bytes buffered for one side from which the other side is not read, and bytes read at one time; fewer where
+# memory is short.
+BUFFER_LIMIT = 16 * 1024
+MIN_BUFFER_LIMIT = 2 * 1024
 NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER of zero seconds: closing sends a reset
 
 
--- a/pointgw/net/wire/lines.py
+++ b/pointgw/net/wire/lines.py
@@ -11,9 +11,9 @@
 
 LINE_END = b"\r\n"
 MAX_LINE_BYTES = 4096  # including its line end
-PING, PONG, STATS, MOVE, ERR = b"PING", b"PONG", b"STATS", b"MOVE", b"ERR"
+PING, PONG, STATS, MOVE, ERR, BYE = b"PING", b"PONG", b"STATS", b"MOVE", b"ERR", b"BYE"
 DEADLINE_PATTERN = re.compile(r"\d{1,9}(\.\d{1,6})?")  # milliseconds
-ENDINGS: dict[bytes, Ending] = {b"BYE": "ok", b"ERR": "error", b"BUSY": "full", b"MOVE": "cancelled"}
+ENDINGS: dict[bytes, Ending] = {BYE: "ok", b"ERR": "error", b"BUSY": "full", b"MOVE": "cancelled"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +154,27 @@
     return None if ending is None else _parse_end_line(ending, rest)
 
 
+def parse_relayed_lines(whole_lines: bytes) -> tuple[Load | None, EndLine | None]:
+    """The last load, and the last `BYE` or `MOVE`, in lines that a server sends on an open tunnel.
+
+    Only those lines are decoded, whatever number of them there is.
+    """
+    load = parse_server_line(_last_line(whole_lines, b"LOAD "))
+    ends = (parse_server_line(_last_line(whole_lines, word)) for word in (BYE, MOVE))
+    return (
+        load if isinstance(load, Load) else None,
+        next((end for end in ends if isinstance(end, EndLine)), None),
+    )
+
+
+def _last_line(whole_lines: bytes, start: bytes) -> bytes:
+    """The last line that begins with `start`, without its end; empty: none."""
+    at = whole_lines.rfind(b"\n" + start) + 1
+    if not at and not whole_lines.startswith(start):
+        return b""
+    return whole_lines[at : whole_lines.index(b"\n", at)].removesuffix(b"\r")
+
+
 def parse_probe_line(line: bytes) -> EndLine:
     """Decodes the answer to a probe."""
     word, _, rest = line.partition(b" ")
--- a/pointgw/net/wire/start_up.py
+++ b/pointgw/net/wire/start_up.py
@@ -34,6 +34,7 @@
     peers: tuple[tuple[str, int], ...] = ()
     peer_listen: tuple[str, int] | None = None
     drain_grace: float = 0.1  # how long a server may still get requests after it is known to drain
+    memory_bytes: int = 0  # that the platform allows this process; 0: not given
 
 
 def flatten(value: Any, path: str = "") -> Fields:
@@ -73,6 +74,7 @@
             tenants=_names(settings.get("tenants")),
             connect_timeout=read_seconds(fields, "limits.connectTimeout", 0.25),
             descriptors=max(0, int((start.get("limits") or {}).get("sockets") or 0)),
+            memory_bytes=max(0, int(float((start.get("limits") or {}).get("memory_mb") or 0) * 2**20)),
             known_list=_read_key(
                 start, "known", "a server list", lambda value: parse_server_list(value, names)
             ),
--- a/tests/crossing/test_hand_over.py
+++ b/tests/crossing/test_hand_over.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 import pytest
@@ -13,7 +14,8 @@
 from crossing.world import ControlledLoop, World, open_line, run_loop_iterations, run_scenario, wait_until
 from pointgw.net.core import events as ev
 from pointgw.net.invariant import violations
-from pointgw.net.run.balancer_process import BalancerProcess
+from pointgw.net.run import tcp
+from pointgw.net.run.balancer_process import BalancerProcess, buffer_limit_for
 from pointgw.net.wire.lines import MAX_LINE_BYTES
 
 
@@ -190,3 +192,34 @@
         assert received == lines
 
     run_scenario(scenario, World())
+
+
+@pytest.mark.parametrize("buffer_limit", [tcp.MIN_BUFFER_LIMIT, tcp.BUFFER_LIMIT])
+@pytest.mark.parametrize("stalled", ["client", "server"])
+def test_little_is_kept_for_a_side_that_does_not_read(stalled: str, buffer_limit: int) -> None:
+    """Guards the memory limit: all that the event loop read at one time was kept, 256 KiB a tunnel."""
+
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        process.buffer_limit = buffer_limit
+        client, server = await world.open_tunnel()
+        reader, sender = (client, server) if stalled == "client" else (server, client)
+        reader.pause_reading()
+        sender.send((b"y" * 1000 + b"\r\n") * 20_000)
+        await asyncio.sleep(0.5)
+        (client_side,), (server_side,) = process.clients.values(), process.servers.values()
+        transport = client_side.transport if stalled == "client" else server_side.transport
+        assert transport is not None
+        kept = transport.get_write_buffer_size() + len(server_side.buffer)
+        assert 0 < kept <= 2 * buffer_limit + MAX_LINE_BYTES
+
+    run_scenario(scenario, World())
+
+
+@pytest.mark.parametrize(
+    ("memory_mb", "connections", "expected"),
+    [(0, 1024, tcp.BUFFER_LIMIT), (192, 1024, tcp.BUFFER_LIMIT), (1, 1024, tcp.MIN_BUFFER_LIMIT)],
+)
+def test_the_buffer_limit_follows_the_memory_limit(memory_mb: int, connections: int, expected: int) -> None:
+    assert buffer_limit_for(memory_mb * 2**20, connections) == expected
+    limit = buffer_limit_for(32 * 2**20, connections)
+    assert connections * (2 * limit + MAX_LINE_BYTES) <= 16 * 2**20
