A client's reset is noticed while it is not read because its server does not read

What callers saw: where a server had stopped reading and its client had reset its connection with much still unread, the server kept the tunnel for as long as it stalled, or until it was taken for silent.

Cause: the balancer doesn't read a client while its server's buffer is full, and learns of its end by reading alone.

Evidence: in the test the client's transport is held, the socket's poll events show the reset, and nothing else happens within 0.5 s.

Change: the check every 0.25 s asks the sockets of clients that are held for a reset. An orderly end is left to reading, as the client's last lines are still to be delivered (test_hand_over has that).

--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -460,6 +460,8 @@
                 and now > client.answer_deadline + ANSWER_SLACK
             ):
                 self._answer_overdue(client, now)
+            elif client.is_held:
+                client.detect_reset()
         for server in list(self.servers.values()):
             server.check_inactivity(now)
         for idle in list(self.connections.idle):
--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -17,6 +17,8 @@
     from pointgw.net.run.balancer_process import BalancerProcess
     from pointgw.net.run.server import ServerConnection
 
+RESET_EVENTS = select.POLLERR | select.POLLHUP  # poll events of a peer that has reset the connection
+
 
 class ClientConnection(BoundedReader):
     """One connection from a client, from accept to close."""
@@ -174,9 +176,16 @@
         have reported it yet, where it is late or other events come first."""
         events = 0 if self.lifecycle.is_closing else tcp.peer_close_events(self.transport)
         if events:
-            self._disconnected(bool(events & (select.POLLERR | select.POLLHUP)))
+            self._disconnected(bool(events & RESET_EVENTS))
         return bool(events)
 
+    def detect_reset(self) -> None:
+        """The same for a reset alone, of a client that is not read: after an orderly end its last lines are
+        still delivered."""
+        if not self.lifecycle.is_closing and tcp.peer_close_events(self.transport) & RESET_EVENTS:
+            self._disconnected(True)
+            self.transport.abort()
+
     def _disconnected(self, reset: bool) -> None:
         """The client has closed the connection: its request, if not sent to a server yet, is dropped."""
         if not self.lifecycle.is_closing:
--- a/tests/crossing/test_client_leaves.py
+++ b/tests/crossing/test_client_leaves.py
@@ -99,3 +99,20 @@
         assert not process.reducer.clients and not process.servers
 
     run_scenario(scenario, World())
+
+
+def test_a_server_that_does_not_read_is_told_that_its_client_has_reset() -> None:
+    """The client's data is not read meanwhile, so neither is its end."""
+
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        client, server = await requested(world)
+        server.send(b"UP r-1\r\n")
+        assert await client.read_line() == b"UP r-1\r\n"
+        server.pause_reading()
+        client.send((b"z" * 1000 + b"\r\n") * 20_000)
+        (protocol,) = process.clients.values()
+        await wait_until(lambda: protocol.is_held)
+        client.reset()
+        await wait_until(lambda: not process.servers and not process.clients, 0.5)
+
+    run_scenario(scenario, World())
