--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import resource
 import signal
 import time
 from collections import Counter, deque
@@ -32,7 +31,7 @@
 from pointgw.net.core.reducer import Reducer
 from pointgw.net.core.route import RouteEvidence
 from pointgw.net.invariant import violations
-from pointgw.net.run import tcp
+from pointgw.net.run import resource_limits, tcp
 from pointgw.net.run.client import ClientConnection
 from pointgw.net.run.client_connections import ClientConnections
 from pointgw.net.run.connection_state import ConnectionState
@@ -42,7 +41,7 @@
 from pointgw.net.run.probe_pool import ProbePool
 from pointgw.net.run.request_log import RequestLog
 from pointgw.net.run.server import ServerConnection
-from pointgw.net.wire.lines import MAX_LINE_BYTES, Decline, EndLine, OpenRequest
+from pointgw.net.wire.lines import Decline, EndLine, OpenRequest
 from pointgw.net.wire.start_up import StartUpSettings
 from pointgw.policy import Balancer
 from pointgw.site import MalformedInputError
@@ -57,9 +56,6 @@
 STATE_LOG_INTERVAL = 10.0  # seconds between two state lines of the log
 FIRST_LINE_SHARE = 0.5  # share of the longest client timeout within which a client must begin its request
 BAD_CLIENT_TIMEOUT = 3.0  # seconds after accept by which a misbehaving client gets an error or a close
-SPARE_DESCRIPTOR_SHARE = 1 / 8  # share of the descriptors that idle connections have to leave free
-BUFFER_MEMORY_SHARE = 1 / 2  # share of the memory limit that connections' buffers may take
-OWN_DESCRIPTORS = 16  # descriptors that the process itself uses
 DESCRIPTORS_PER_TUNNEL = 2  # its client's and its server's
 CLOCK_RESOLUTION = 0.001  # seconds, resolution of the event loop's clock
 EXIT_CHECK_INTERVAL = 0.01  # seconds between two checks whether the last connections have closed
@@ -108,9 +104,9 @@
         self.first_line_timeout = min(
             FIRST_LINE_SHARE * self.reducer.max_client_timeout, self.partial_line_timeout
         )
-        self.descriptor_limit = _descriptor_limit(start_up.descriptors)
-        self.buffer_limit = buffer_limit_for(start_up.memory_bytes, self.descriptor_limit)
-        self.descriptor_budget = int(self.descriptor_limit * (1 - SPARE_DESCRIPTOR_SHARE)) - OWN_DESCRIPTORS
+        self.descriptor_limit = resource_limits.descriptor_limit(start_up.descriptors)
+        self.descriptor_budget = resource_limits.descriptor_budget(self.descriptor_limit)
+        self.buffer_limit = resource_limits.buffer_limit(start_up.memory_bytes, self.descriptor_limit)
         self.reducer.inherited.max_waiting = self.descriptor_budget // DESCRIPTORS_PER_TUNNEL
         self.connections = ClientConnections(loop, self.reducer.max_client_timeout)
         self.refusals: Counter[str] = Counter()
@@ -494,24 +490,6 @@
         ) or STATE_LOG_INTERVAL
 
 
-def _descriptor_limit(configured: int) -> int:
-    """Descriptors that this process may hold: the configured number (0: none), or the system's if lower."""
-    limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    limit = limit if limit > 0 else 2**20  # -1: no limit
-    return min(configured or limit, limit)
-
-
-def buffer_limit_for(memory_bytes: int, connections: int) -> int:
-    """Bytes that one connection may buffer, so that all of them need half of the memory (0: not limited).
-
-    Each keeps what was read at one time, as much again, and a line without its end.
-    """
-    if not memory_bytes:
-        return tcp.BUFFER_LIMIT
-    share = int(BUFFER_MEMORY_SHARE * memory_bytes / connections)
-    return min(max((share - MAX_LINE_BYTES) // 2, tcp.MIN_BUFFER_LIMIT), tcp.BUFFER_LIMIT)
-
-
 def run(
     start_up: StartUpSettings,
     read_settings: Callable[[], StartUpSettings],
--- a/tests/crossing/test_hand_over.py
+++ b/tests/crossing/test_hand_over.py
@@ -14,8 +14,8 @@
 from crossing.world import ControlledLoop, World, open_line, run_loop_iterations, run_scenario, wait_until
 from pointgw.net.core import events as ev
 from pointgw.net.invariant import violations
-from pointgw.net.run import tcp
-from pointgw.net.run.balancer_process import BalancerProcess, buffer_limit_for
+from pointgw.net.run import resource_limits, tcp
+from pointgw.net.run.balancer_process import BalancerProcess
 from pointgw.net.wire.lines import MAX_LINE_BYTES
 
 
@@ -220,6 +220,6 @@
     [(0, 1024, tcp.BUFFER_LIMIT), (192, 1024, tcp.BUFFER_LIMIT), (1, 1024, tcp.MIN_BUFFER_LIMIT)],
 )
 def test_the_buffer_limit_follows_the_memory_limit(memory_mb: int, connections: int, expected: int) -> None:
-    assert buffer_limit_for(memory_mb * 2**20, connections) == expected
-    limit = buffer_limit_for(32 * 2**20, connections)
+    assert resource_limits.buffer_limit(memory_mb * 2**20, connections) == expected
+    limit = resource_limits.buffer_limit(32 * 2**20, connections)
     assert connections * (2 * limit + MAX_LINE_BYTES) <= 16 * 2**20
