--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -91,7 +91,7 @@
                 self._end("error")
         if self.lifecycle.state is ConnectionState.RELAYING:
             self._forward_lines()
-        elif len(self.buffer) > tcp.BUFFER_LIMIT:  # limits memory before relaying starts
+        elif len(self.buffer) > self.buffer_limit:  # limits memory before relaying starts
             self._end(self.lifecycle.disconnect_ending())
 
     def _read_first_line(self) -> None:
