Requests that come all at once are started a few at a time

What callers saw: 400 requests at once, and then every client was declined (BUSY) for 2 s and more, though the server was well.

Cause: all requests that were read in one iteration of the event loop were started in it. An attempt's limits (120 ms to connect, 200 ms in all) run from its start, so they passed while the rest of the burst was being started; the balancer then believed that its server had failed, and after two such setups in a row starts no others for a while. Plain request lines do it, too: the fields only make it likelier.

--- a/pointgw/net/core/events.py
+++ b/pointgw/net/core/events.py
@@ -11,10 +11,11 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientArrived:
-    """A client has sent its request for a tunnel."""
+    """A client has sent its request for a tunnel, which was read at `received_at` (None: just now)."""
 
     client: int
     request: OpenRequest
+    received_at: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/pointgw/net/core/inherited_tunnels.py
+++ b/pointgw/net/core/inherited_tunnels.py
@@ -61,9 +61,9 @@
     def __contains__(self, client: int) -> bool:
         return client in self.requests
 
-    def add(self, client: int, request: OpenRequest, now: float) -> None:
+    def add(self, client: int, request: OpenRequest, received_at: float) -> None:
         """Adds a request that has arrived; `next_step` says what to do for it."""
-        deadline = now + inherited_timeout(request) - self.answer_margin
+        deadline = received_at + inherited_timeout(request) - self.answer_margin
         self.requests[client] = InheritedRequest(client, request, deadline)
 
     def remove(self, client: int) -> InheritedRequest | None:
--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -196,21 +196,23 @@
         if awaits_list and len(self.balancer.queue) >= self.inherited.max_waiting:
             self.effects.append(effects.Reply(event.client, Decline(0.0), "too_many_waiting"))
             return
-        remaining_time = request.remaining_time
+        received_at = now if event.received_at is None else event.received_at
         timeout = self.balancer.profiles[profile].client_timeout
-        remaining_time = timeout if remaining_time is None else min(remaining_time, timeout)
+        if request.remaining_time is not None:
+            timeout = min(request.remaining_time, timeout)
+        deadline = received_at + timeout
         tunnel = self.balancer.new_tunnel(
             request.name, profile, self.tenants.get(request.tenant, 0), request.key, request.group,
-            now + remaining_time, request.is_returning,
+            deadline, request.is_returning,
         )  # fmt: skip
         client = Client(event.client, request, tunnel)
         self.clients[event.client] = self.client_of[tunnel] = client
         self.tunnel_names.add(request.name)
         if request.current_server:
-            self.inherited.add(client.number, request, now)
+            self.inherited.add(client.number, request, received_at)
             self._advance_inherited(client)
         else:
-            self.guard.request_arrived(event.client, tunnel.profile, now + remaining_time)
+            self.guard.request_arrived(event.client, tunnel.profile, deadline)
             self.balancer.tunnel_arrived(tunnel, False, now)
 
     def _advance_inherited(self, client: Client, delay: float = 0.0) -> None:
--- a/pointgw/net/run/balancer_process.py
+++ b/pointgw/net/run/balancer_process.py
@@ -39,6 +39,7 @@
 from pointgw.net.run.invalid_fields import InvalidFieldLog
 from pointgw.net.run.periodic import PeriodicTimer, count_exception, count_loop_exception
 from pointgw.net.run.probe_pool import ProbePool
+from pointgw.net.run.request_admission import RequestAdmission
 from pointgw.net.run.request_log import RequestLog
 from pointgw.net.run.server import ServerConnection
 from pointgw.net.wire.lines import Decline, EndLine, OpenRequest
@@ -116,6 +117,7 @@
         self.discovery = DiscoveryClient(self, start_up.discovery, start_up.names)
         self.request_numbers = count()
         self.event_queue: deque[Event] = deque()
+        self.admission = RequestAdmission(loop, self.submit)
         self.processing = False
         self.timer: asyncio.TimerHandle | None = None
         self.stopping = False
--- a/pointgw/net/run/client.py
+++ b/pointgw/net/run/client.py
@@ -79,7 +79,8 @@
                 self.lifecycle.transition_to(ConnectionState.REQUESTED)
                 self.request_id, self.answer_deadline = message.name, self.process.answer_deadline(message)
                 self.number = self.process.register_request(self)
-                self.process.submit(ClientArrived(self.number, message))
+                arrival = ClientArrived(self.number, message, self.process.now())
+                self.process.admission.add(self, arrival)
         except MalformedInputError as error:
             self.refuse("malformed", error)
 
