A timeout reads the input that is ready before it blames the peer

What callers saw: BUSY for a request that a server had accepted in time, and servers taken out of use for answers and connections that had come, where the balancer had been short of processor time.

Cause: the event loop runs timers before it reads. After a stretch in which it was held up, the timers of attempts, probes and calls to discovery fell due first, and counted as missing what lay in the sockets.

Evidence: with the loop held up for 1.3 times the limit, a request that its server had accepted was answered BUSY (second setup, paused), a probe answered in time ended as "timeout", and a connection that had come up ended as "no-connection".

Change: InputFirstTimer acts only after three more iterations of the loop, in which ready input is read. A connection that comes up after its attempt's time has passed ends the attempt as "moot", which is no evidence against the server, and another attempt is made.

Tests: the four new cases of test_own_lag.py failed before.

--- a/pointgw/net/run/discovery.py
+++ b/pointgw/net/run/discovery.py
@@ -11,6 +11,7 @@
 from pointgw.net.core.effects import RequestList
 from pointgw.net.core.events import ListReceived, ListRequestFailed
 from pointgw.net.core.list_requests import LIST_RESPONSE_SECONDS, WATCH_RESPONSE_SECONDS
+from pointgw.net.run.input_first_timer import InputFirstTimer
 from pointgw.net.run.link import Link
 from pointgw.net.wire import server_list
 from pointgw.site import MalformedInputError
@@ -33,7 +34,7 @@
         self.request: RequestList | None = None
         self.link: Link | None = None  # the current connection; data on others is ignored
         self.response = server_list.Response()  # being received on it
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: asyncio.TimerHandle | InputFirstTimer | None = None
         self.task: asyncio.Task[None] | None = None
         self.failing = False  # the last call failed, and that was logged
 
@@ -54,7 +55,8 @@
         if request is not self.request:  # given up while it waited
             return
         timeout = request.wait + WATCH_RESPONSE_SECONDS if request.wait else LIST_RESPONSE_SECONDS
-        self.timer = self.process.loop.call_later(timeout, self.fail, "no answer", request.wait > 0)
+        on_timeout = partial(self.fail, "no answer", request.wait > 0)
+        self.timer = InputFirstTimer(self.process.loop, timeout, on_timeout)
         if self.link is not None:
             self.on_connected()
         else:
--- a/pointgw/net/run/probe.py
+++ b/pointgw/net/run/probe.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from pointgw.interface import Ending, Report
 from pointgw.net.core.effects import Address, Probe
 from pointgw.net.core.events import ProbeEnded
+from pointgw.net.run.input_first_timer import InputFirstTimer
 from pointgw.net.run.link import Link
 from pointgw.net.wire import lines
 from pointgw.site import MalformedInputError
@@ -28,13 +30,13 @@
         self.reused = False  # the probe was sent on a connection that was already open
         self.link: Link | None = None  # the current connection; data on others is ignored
         self.buffer = bytearray()  # received after the last whole line
-        self.timer: asyncio.TimerHandle | None = None
+        self.timer: InputFirstTimer | None = None
         self.task: asyncio.Task[None] | None = None
 
     def send(self, probe: Probe) -> None:
         """Sends a probe, on a new connection where none is open."""
         self.probe = probe
-        self.timer = self.process.loop.call_later(probe.timeout, self._finish, "timeout", {})
+        self.timer = InputFirstTimer(self.process.loop, probe.timeout, partial(self._finish, "timeout", {}))
         if self.link is not None and self.link.is_connected:
             self.reused = True
             self.on_connected()
@@ -47,7 +49,8 @@
         self.buffer.clear()
         self.link = link = Link(self)
         self.task = self.process.loop.create_task(self._connect(probe, link))
-        self.process.loop.call_later(probe.connect_timeout, self._connect_failed, probe, link, TimeoutError())
+        on_timeout = partial(self._connect_failed, probe, link, TimeoutError())
+        InputFirstTimer(self.process.loop, probe.connect_timeout, on_timeout)
 
     async def _connect(self, probe: Probe, link: Link) -> None:
         try:
--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -12,6 +12,7 @@
 from pointgw.net.run.bounded_reader import BoundedReader
 from pointgw.net.run.client import ClientConnection
 from pointgw.net.run.connection_state import ConnectionLifecycle, ConnectionState
+from pointgw.net.run.input_first_timer import InputFirstTimer
 from pointgw.net.wire import lines
 from pointgw.site import MalformedInputError
 
@@ -42,7 +43,7 @@
         # Not by the loop's clock, which lags while the loop is busy.
         self.deadline = process.now() + attempt.delay + attempt.timeout
         connect_limit = attempt.delay + min(attempt.connect_timeout, attempt.timeout)
-        self.timer = process.loop.call_later(connect_limit, self._timed_out)
+        self.timer = InputFirstTimer(process.loop, connect_limit, self._timed_out)
         self.task = process.loop.create_task(self._connect())
 
     async def _connect(self) -> None:
@@ -65,7 +66,9 @@
             self.transport.abort()  # abandoned while connecting
             return
         self.transport.set_write_buffer_limits(self.buffer_limit)
-        if not self.client.detect_disconnect():  # otherwise its ClientLeft ends this setup
+        if self.process.now() >= self.deadline:  # the event loop was late: no evidence against the server
+            self._end("moot")
+        elif not self.client.detect_disconnect():  # otherwise its ClientLeft ends this setup
             self.process.submit(SetupConnected(self.attempt.client, self.attempt.setup))
 
     def write_request(self) -> None:
@@ -74,7 +77,7 @@
             return
         remaining = self.deadline - self.process.now()
         self.timer.cancel()
-        self.timer = self.process.loop.call_later(remaining, self._timed_out)
+        self.timer = InputFirstTimer(self.process.loop, remaining, self._timed_out)
         self.lifecycle.transition_to(ConnectionState.REQUEST_SENT)
         sent_remaining = None if self.attempt.remaining_time is None else remaining
         self.transport.write(lines.encode_open_request(self.attempt.request, sent_remaining))
