A reply's delay counts to when it arrived, not to when it was read

What callers saw: tunnels moved away (MOVE) from servers that had replied in time, and those servers taken out of use, where the balancer had been short of processor time.

Evidence: with the loop held up for 0.2 s after the reply was looked for, the server was taken out of use; for 1.76 s, the client got MOVE.

Change: a delay beyond the threshold is shortened by the time since the socket last received data (TCP_INFO), and a server with unread data isn't silent. A reply that is late by itself is noticed as before (test_a_late_reply_is_still_noticed passes before and after).

Tests: the two cases of test_a_reply_that_came_while_the_loop_was_held_up_was_not_late failed before.

--- a/pointgw/net/run/server.py
+++ b/pointgw/net/run/server.py
@@ -124,9 +124,8 @@
         whole_lines = bytes(self.buffer[:end])
         del self.buffer[:end]
         if self.unanswered_since is not None:
-            elapsed, self.unanswered_since = self.process.now() - self.unanswered_since, None
-            if elapsed > self.process.slow_threshold:
-                self.process.submit(ServerSlow(self.attempt.client, elapsed, False))
+            self._check_delay(self.process.now() - self.unanswered_since)
+            self.unanswered_since = None
         load, end_line = lines.parse_relayed_lines(whole_lines)
         self.end_line = end_line or self.end_line
         if load is not None:
@@ -134,6 +133,14 @@
         if self.lifecycle.state is ConnectionState.RELAYING:
             self.client.send_lines(whole_lines)
 
+    def _check_delay(self, elapsed: float) -> None:
+        """Reports a reply that came late. The time for which it lay unread is this process's own."""
+        assert self.transport is not None
+        if elapsed > self.process.slow_threshold:
+            elapsed -= tcp.seconds_since_received(self.transport)
+        if elapsed > self.process.slow_threshold:
+            self.process.submit(ServerSlow(self.attempt.client, elapsed, False))
+
     def start_relay(self) -> None:
         """Sends the UP line to the client, and relays from now on unless the client has left."""
         assert self.up_line is not None
@@ -154,7 +161,10 @@
 
     def check_inactivity(self, now: float) -> None:
         """Reports a server that has sent nothing for too long since the client's data: it may be gone."""
-        if self.unanswered_since is not None and now - self.unanswered_since > self.process.slow_threshold:
+        if self.unanswered_since is None or self.transport is None:
+            return
+        is_silent = now - self.unanswered_since > self.process.slow_threshold
+        if is_silent and not tcp.unread_bytes(self.transport):
             self.process.submit(ServerSlow(self.attempt.client, now - self.unanswered_since, True))
 
     def close(self, reset: bool) -> None:
--- a/pointgw/net/run/tcp.py
+++ b/pointgw/net/run/tcp.py
@@ -13,6 +13,8 @@
 # memory is short.
 BUFFER_LIMIT = 16 * 1024
 MIN_BUFFER_LIMIT = 2 * 1024
+TCP_INFO_BYTES = 64  # of Linux's struct tcp_info, up to the field that is read
+LAST_DATA_RECEIVED_OFFSET = 52  # of tcpi_last_data_recv, milliseconds
 NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER of zero seconds: closing sends a reset
 
 
@@ -33,6 +35,16 @@
     return waiting
 
 
+def seconds_since_received(transport: asyncio.Transport) -> float:
+    """Time since the socket last received data, whether or not that has been read."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or transport.is_closing():
+        return 0.0
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    milliseconds: int = struct.unpack_from("I", info, LAST_DATA_RECEIVED_OFFSET)[0]
+    return milliseconds / 1e3
+
+
 def peer_close_events(transport: asyncio.Transport) -> int:
     """Poll events of a peer that has closed or reset, even if earlier input is unread; 0: neither."""
     sock = transport.get_extra_info("socket")
--- a/tests/crossing/test_own_lag.py
+++ b/tests/crossing/test_own_lag.py
@@ -14,6 +14,7 @@
 from crossing.world import Connection, ControlledLoop, World, open_line, run_scenario, wait_until
 from pointgw.net.core.events import ClientArrived, Event, ProbeEnded
 from pointgw.net.run.balancer_process import BalancerProcess
+from pointgw.policy import SILENCE_TIMEOUT
 
 CONNECT_TIMEOUT, ATTEMPT_TIMEOUT = 0.12, 0.2  # seconds, settings of the world's balancer
 REQUESTS = 100
@@ -131,3 +132,33 @@
         assert endings[0] == "ok"
 
     run_scenario(scenario, World(servers=1, limits={"probes": True}))
+
+
+@pytest.mark.parametrize("seconds", [ATTEMPT_TIMEOUT, 1.1 * SILENCE_TIMEOUT * ATTEMPT_TIMEOUT])
+def test_a_reply_that_came_while_the_loop_was_held_up_was_not_late(seconds: float) -> None:
+    """Guards against a server that loses its tunnels because this balancer read its replies late."""
+
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        client, server = await world.open_tunnel()
+        client.send(b"hello\r\n")
+        assert await server.read_line() == b"hello\r\n"
+        write_while_held_up(server, b"reply\r\n", seconds)
+        assert await client.read_line() == b"reply\r\n"
+        assert process.reducer.figures()["suspended"] == 0
+
+    run_scenario(scenario, World(servers=2))
+
+
+def test_a_late_reply_is_still_noticed() -> None:
+    """Guards against a server whose own delay is taken for the balancer's."""
+
+    async def scenario(process: BalancerProcess, world: World, loop: ControlledLoop) -> None:
+        client, server = await world.open_tunnel()
+        client.send(b"hello\r\n")
+        assert await server.read_line() == b"hello\r\n"
+        await asyncio.sleep(ATTEMPT_TIMEOUT)
+        server.send(b"reply\r\n")
+        assert await client.read_line() == b"reply\r\n"
+        assert process.reducer.figures()["suspended"] == 1
+
+    run_scenario(scenario, World(servers=2))
