Requests that could not be started in half of their client's time are declined

Cause: the queue of requests that wait to be started had no end. One that waits longer than its client does was answered after its deadline.

Change: a request that has waited for over half of its client's timeout is declined when its turn comes, which costs far less than an attempt; reason "started_late". A request for a tunnel that stood before keeps its own, longer time.

--- a/pointgw/net/core/reducer.py
+++ b/pointgw/net/core/reducer.py
@@ -46,6 +46,7 @@
     from pointgw.state.restore import MembershipView, RestoredState
 
 DEFAULT_MAX_WAITING = 512  # requests that may wait for a list, where no limit of descriptors is known
+MAX_START_DELAY_SHARE = 0.5  # share of its client's timeout after which a request is no longer started
 STOP_ACCEPT_SECONDS = 0.5  # new connections still arrive for this long after the stop signal
 STOP_ROUND_SECONDS = 0.1  # between two rounds of migrations while stopping
 STOP_SETTLE_SECONDS = 0.3  # for the last migrations to reach their clients
@@ -201,6 +202,11 @@
         if request.remaining_time is not None:
             timeout = min(request.remaining_time, timeout)
         deadline = received_at + timeout
+        # Guards against late answers where requests come faster than they can be started.
+        if not request.current_server and now - received_at > MAX_START_DELAY_SHARE * timeout:
+            retry_after = self.balancer.retry_after(self.balancer.profiles[profile])
+            self.effects.append(effects.Reply(event.client, Decline(retry_after), "started_late"))
+            return
         tunnel = self.balancer.new_tunnel(
             request.name, profile, self.tenants.get(request.tenant, 0), request.key, request.group,
             deadline, request.is_returning,
--- a/pointgw/policy.py
+++ b/pointgw/policy.py
@@ -1158,10 +1158,14 @@
         tunnel.transition_to(State.ENDED)
         self.no_room_until = now + SCARCITY_DURATION * self.attempt_timeout
         if self.may_decline(tunnel) and now < tunnel.deadline + self.answer_margin:
-            self.host.decline(tunnel, min(self.max_retry_after, 2 * tunnel.profile.attempt_timeout))
+            self.host.decline(tunnel, self.retry_after(tunnel.profile))
         else:
             self.host.close_with_error(tunnel)
 
+    def retry_after(self, profile: Profile) -> float:
+        """Seconds after which a declined client should try again; 0: no advice."""
+        return min(self.max_retry_after, 2 * profile.attempt_timeout)
+
     def setup_opened(self, tunnel: Tunnel, number: int, now: float) -> None:
         """Records that a setup opened its tunnel, unless that has ended or gone on to another setup."""
         if tunnel.state is State.SETTING_UP and number == len(tunnel.setups) - 1:
